Lay out schemas, public interfaces and the build

Purpose: fix the schemas and the public headers of every module first, so that the parts can be written side by side against them. Nothing runs yet.

--- /dev/null
+++ b/include/plantainhaven/common/log.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+namespace plantainhaven {
+
+enum class LogLevel
+{
+  kDebug,
+  kInfo,
+  kWarning,
+  kError,
+};
+
+// One key=value pair of a log line. Values with blanks or quotes are quoted.
+struct LogField
+{
+  LogField(std::string_view aKey, std::string_view aValue);
+  LogField(std::string_view aKey, const char* aValue);
+  LogField(std::string_view aKey, bool aValue);
+  template<typename T, typename = std::enable_if_t<std::is_arithmetic_v<T>>>
+  LogField(std::string_view aKey, T aValue)
+    : key(aKey)
+    , value(std::to_string(aValue))
+  {
+  }
+
+  std::string key;
+  std::string value;
+};
+
+// Sends log lines of this process to standard error through Boost.Log. `aLevel` is
+// "debug", "info", "warning" or "error"; another word is taken as "info". Call once.
+void
+StartLog(std::string_view aProgram, std::string_view aLevel);
+
+// Writes one line: time, level, program, event=..., then the fields in order.
+void
+Log(LogLevel aLevel, std::string_view aEvent, std::initializer_list<LogField> aFields = {});
+
+} // namespace plantainhaven
--- /dev/null
+++ b/include/plantainhaven/platform/memory_platform.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "plantainhaven/platform/platform.h"
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace plantainhaven {
+
+// The platform's three services in memory, with the faults that the real ones show.
+// The platform stand-in serves this over HTTP; tests use it directly. Safe for
+// several threads.
+class MemoryPlatform
+  : public TableStore
+  , public ObjectStore
+  , public VmList
+{
+public:
+  MemoryPlatform();
+  ~MemoryPlatform() override;
+
+  Result<TableCommitAnswer> Commit(const TableTransaction& aTransaction) override;
+  Result<TableRow> Read(const std::string& aKey) override;
+  Result<TableReadAnswer> ReadPrefix(const std::string& aPrefix,
+                                     const std::string& aAfter,
+                                     std::size_t aLimit) override;
+  Result<Done> Put(const std::string& aName, const std::string& aBytes) override;
+  Result<std::string> Get(const std::string& aName) override;
+  Result<Done> Delete(const std::string& aName) override;
+  Result<VmListAnswer> List() override;
+
+  // Sets the faults; a default message ends them. The delay is kept for the HTTP
+  // stand-in to apply, and isn't slept here.
+  void SetFault(const PlatformFault& aFault);
+  PlatformFault Fault() const;
+  // Adds or replaces a VM on the list, or removes it.
+  void SetVm(const VmListEntry& aVm);
+  void RemoveVm(const std::string& aName);
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+} // namespace plantainhaven
--- /dev/null
+++ b/include/plantainhaven/policy/config/configuration.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "plantainhaven/common/result.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "resources.pb.h"
+
+namespace plantainhaven {
+
+using Revision = std::uint64_t;
+
+// The whole configuration at one revision: every resource of every kind. Client
+// blocks, of which there may be hundreds of thousands, are held compactly. A value
+// type: copies share what didn't change where that is cheap. Not thread-safe.
+class Configuration
+{
+public:
+  Configuration();
+  ~Configuration();
+  Configuration(const Configuration& aOther);
+  Configuration(Configuration&& aOther) noexcept;
+  Configuration& operator=(const Configuration& aOther);
+  Configuration& operator=(Configuration&& aOther) noexcept;
+
+  // --- Reading ---------------------------------------------------------------
+
+  // Revision of the last change applied, 0 for an empty configuration.
+  Revision AppliedRevision() const;
+  // The resource or null. The pointer holds until the next change.
+  // Client blocks are answered through FindBlock() only.
+  const Resource* Find(std::string_view aKind, std::string_view aName) const;
+  // Any resource by kind and name, client blocks included; kNotFound if absent.
+  Result<Resource> Get(std::string_view aKind, std::string_view aName) const;
+  // Calls `aVisit` for every resource of a kind in order of name; for client
+  // blocks too, which are rebuilt one by one.
+  void ForEach(std::string_view aKind, const std::function<void(const Resource&)>& aVisit) const;
+  std::size_t Count(std::string_view aKind) const;
+
+  // --- Changing --------------------------------------------------------------
+
+  // Applies a change if it is the next one. kConflict when its revision isn't
+  // AppliedRevision() + 1; the configuration is then unchanged.
+  Result<Done> Apply(const ChangeRecord& aChange);
+
+  // --- Snapshots -------------------------------------------------------------
+
+  // Cuts the configuration into chunks. The cut depends on names only, so that a
+  // change of one resource changes one chunk. Bytes are deterministic.
+  std::vector<std::string> ToChunks() const;
+  // Builds a configuration from serialised SnapshotChunks; kInvalid on bad bytes.
+  static Result<Configuration> FromChunks(Revision aRevision,
+                                          const std::vector<std::string>& aChunks);
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+// Kind of a resource as operators write it, for example "backend_server"; empty when
+// no spec is set.
+std::string
+KindOf(const Resource& aResource);
+
+// Every kind's name, in the order of the schema.
+const std::vector<std::string>&
+AllKinds();
+
+// Kinds that plantain-entryd needs: all but client_block.
+bool
+IsTrafficKind(std::string_view aKind);
+
+} // namespace plantainhaven
--- /dev/null
+++ b/test/support/catch_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
