Publish the interface of the budget ledgers

plantain-entryd codes against BudgetService while the ledgers behind it are written. Only the headers' syntax was checked; nothing runs yet.

--- /dev/null
+++ b/include/plantainhaven/policy/budget/shares.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "peer.pb.h"
+
+namespace plantainhaven {
+
+// An amount of tokens in thousandths. One request of a client account, one slot, one
+// connection and one byte of a link are one token each.
+using TokenThousandths = std::int64_t;
+constexpr TokenThousandths kOneToken = 1000;
+
+// Names one budget of the fleet: what it limits and whose limit it is.
+struct LedgerId
+{
+  BudgetId::Type type = BudgetId::TYPE_UNSPECIFIED;
+  std::string name;
+
+  auto operator<=>(const LedgerId&) const = default;
+};
+
+struct LedgerIdHash
+{
+  std::size_t operator()(const LedgerId& aId) const noexcept
+  {
+    return std::hash<std::string>{}(aId.name) * 31 + static_cast<std::size_t>(aId.type);
+  }
+};
+
+// True for limits on what is in use at once: region slots and server connections. The
+// other types are rates whose tokens refill with time.
+bool
+IsConcurrency(BudgetId::Type aType) noexcept;
+
+// One limit as the configuration states it, for the whole fleet.
+struct BudgetSpec
+{
+  LedgerId id;
+  // Tokens that refill in one second; 0 for concurrency.
+  TokenThousandths ratePerSecond = 0;
+  // Burst of a rate, or the most that may be in use at once.
+  TokenThousandths capacity = 0;
+  // Concurrency only: the longest time that anything taken may stay in use. The holder
+  // must end its use by then; the bound over the fleet rests on it.
+  std::chrono::nanoseconds longestUse{ 0 };
+
+  bool operator==(const BudgetSpec&) const = default;
+};
+
+// A VM among which budgets are split. Leaving ones count until they are removed.
+struct BudgetMember
+{
+  std::string name;
+  // "tcp://ADDRESS:PORT" where its plantain-entryd hears budget messages.
+  std::string endpoint;
+  std::string failureDomain;
+  std::uint64_t incarnation = 0;
+  bool leaving = false;
+
+  bool operator==(const BudgetMember&) const = default;
+};
+
+// The part of a budget that one VM may give out by itself.
+struct Share
+{
+  TokenThousandths ratePerSecond = 0;
+  TokenThousandths capacity = 0;
+
+  bool operator==(const Share&) const = default;
+};
+
+// Thousandths of a budget that are split evenly over all members; the rest belongs to
+// the budget's home VM, which lends it to where the demand is.
+constexpr std::int64_t kDefaultFloor = 250;
+
+// The member that holds what is above the floors: the one with the highest rendezvous
+// hash among members that aren't leaving, or among all when all are. Empty when there
+// are no members. Depends on nothing but the arguments, in any order of members.
+std::string
+HomeOf(const LedgerId& aId, const std::vector<BudgetMember>& aMembers);
+
+// The share of `aSelf`; an empty one when it isn't a member. Over all members the
+// shares sum exactly to the budget. Floors below one token of capacity are useless to
+// whoever holds them, so then the home VM holds the whole budget.
+Share
+ShareOf(const BudgetSpec& aSpec,
+        const std::vector<BudgetMember>& aMembers,
+        std::string_view aSelf,
+        std::int64_t aFloorThousandths = kDefaultFloor);
+
+} // namespace plantainhaven
