--- /dev/null
+++ b/src/common/log.cc
@@ -0,0 +1,177 @@
+#include "plantainhaven/common/log.h"
+
+#include <array>
+#include <cstdio>
+#include <ctime>
+#include <iostream>
+#include <mutex>
+
+#include <boost/core/null_deleter.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/make_shared.hpp>
+
+namespace plantainhaven {
+
+namespace {
+
+namespace log = boost::log;
+using Backend = log::sinks::text_ostream_backend;
+using Sink = log::sinks::synchronous_sink<Backend>;
+using Source = log::sources::severity_logger_mt<LogLevel>;
+
+constexpr std::array kLevelNames = { "debug", "info", "warning", "error" };
+constexpr std::int64_t kNanosecondsPerMillisecond = 1'000'000;
+
+struct Settings
+{
+  std::string program = "plantainhaven";
+  LogLevel least = LogLevel::kInfo;
+};
+
+Settings&
+CurrentSettings()
+{
+  static Settings sSettings;
+  return sSettings;
+}
+
+Source&
+SharedSource()
+{
+  static Source sSource;
+  return sSource;
+}
+
+LogLevel
+LevelFromWord(std::string_view aWord)
+{
+  for (std::size_t index = 0; index < kLevelNames.size(); ++index) {
+    if (aWord == kLevelNames[index]) {
+      return static_cast<LogLevel>(index);
+    }
+  }
+  return LogLevel::kInfo;
+}
+
+std::string
+UtcNow()
+{
+  timespec now{};
+  ::clock_gettime(CLOCK_REALTIME, &now);
+  std::tm parts{};
+  ::gmtime_r(&now.tv_sec, &parts);
+  std::array<char, 32> seconds{};
+  std::strftime(seconds.data(), seconds.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+  std::array<char, 48> text{};
+  std::snprintf(text.data(),
+                text.size(),
+                "%s.%03ldZ",
+                seconds.data(),
+                static_cast<long>(now.tv_nsec / kNanosecondsPerMillisecond));
+  return text.data();
+}
+
+bool
+NeedsQuotes(std::string_view aValue)
+{
+  for (const char letter : aValue) {
+    const auto code = static_cast<unsigned char>(letter);
+    if (code <= ' ' || letter == '"' || letter == '=' || letter == '\\') {
+      return true;
+    }
+  }
+  return aValue.empty();
+}
+
+void
+AppendQuoted(std::string& aLine, std::string_view aValue)
+{
+  aLine += '"';
+  for (const char letter : aValue) {
+    if (letter == '"' || letter == '\\') {
+      aLine += '\\';
+    }
+    aLine += static_cast<unsigned char>(letter) < ' ' ? ' ' : letter;
+  }
+  aLine += '"';
+}
+
+void
+AppendField(std::string& aLine, std::string_view aKey, std::string_view aValue)
+{
+  if (!aLine.empty()) {
+    aLine += ' ';
+  }
+  aLine += aKey;
+  aLine += '=';
+  if (NeedsQuotes(aValue)) {
+    AppendQuoted(aLine, aValue);
+  } else {
+    aLine += aValue;
+  }
+}
+
+void
+AddSink()
+{
+  auto backend = boost::make_shared<Backend>();
+  backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+  backend->auto_flush(true);
+  auto sink = boost::make_shared<Sink>(backend);
+  sink->set_formatter(log::expressions::stream << log::expressions::smessage);
+  log::core::get()->add_sink(sink);
+}
+
+} // namespace
+
+LogField::LogField(std::string_view aKey, std::string_view aValue)
+  : key(aKey)
+  , value(aValue)
+{
+}
+
+LogField::LogField(std::string_view aKey, const char* aValue)
+  : key(aKey)
+  , value(aValue == nullptr ? "" : aValue)
+{
+}
+
+LogField::LogField(std::string_view aKey, bool aValue)
+  : key(aKey)
+  , value(aValue ? "true" : "false")
+{
+}
+
+void
+StartLog(std::string_view aProgram, std::string_view aLevel)
+{
+  CurrentSettings().program = aProgram;
+  CurrentSettings().least = LevelFromWord(aLevel);
+  static std::once_flag sOnce;
+  std::call_once(sOnce, AddSink);
+}
+
+void
+Log(LogLevel aLevel, std::string_view aEvent, std::initializer_list<LogField> aFields)
+{
+  const Settings& settings = CurrentSettings();
+  if (aLevel < settings.least) {
+    return;
+  }
+  std::string line;
+  AppendField(line, "time", UtcNow());
+  AppendField(line, "level", kLevelNames[static_cast<std::size_t>(aLevel)]);
+  AppendField(line, "program", settings.program);
+  AppendField(line, "event", aEvent);
+  for (const LogField& field : aFields) {
+    AppendField(line, field.key, field.value);
+  }
+  BOOST_LOG_SEV(SharedSource(), aLevel) << line;
+}
+
+} // namespace plantainhaven
