--- a/include/plantainhaven/platform/memory_platform.h
+++ b/include/plantainhaven/platform/memory_platform.h
@@ -30,10 +30,17 @@
   Result<Done> Delete(const std::string& aName) override;
   Result<VmListAnswer> List() override;
 
-  // Sets the faults; a default message ends them. The delay is kept for the HTTP
-  // stand-in to apply, and isn't slept here.
+  // Sets the faults; a default message ends them. The delays are kept for the HTTP
+  // stand-in to apply, and aren't slept here. While commits are to be delayed, each
+  // is held, is answered kUnknown and waits for ReleaseHeldCommits().
   void SetFault(const PlatformFault& aFault);
   PlatformFault Fault() const;
+  // Carries out the commits that the fault delay_commits held, in their order; their
+  // conditions are checked now. Returns how many there were.
+  std::size_t ReleaseHeldCommits();
+  // Takes one commit off the fault delay_commits and returns how long it must be
+  // held; zero when none is to be held. The HTTP stand-in calls this before Commit().
+  std::chrono::milliseconds TakeCommitDelay();
   // Adds or replaces a VM on the list, or removes it.
   void SetVm(const VmListEntry& aVm);
   void RemoveVm(const std::string& aName);
