Keep the configuration with packed client blocks

Ordinary kinds live in shared maps, client blocks in shared chunks of 16-byte entries, so that a copy is cheap and a change copies only what it touches.

--- a/include/plantainhaven/policy/config/configuration.h
+++ b/include/plantainhaven/policy/config/configuration.h
@@ -33,13 +33,18 @@
   // Revision of the last change applied, 0 for an empty configuration.
   Revision AppliedRevision() const;
   // The resource or null. The pointer holds until the next change.
-  // Client blocks are answered through FindBlock() only.
+  // Client blocks are held packed, so that only Get() answers them.
   const Resource* Find(std::string_view aKind, std::string_view aName) const;
   // Any resource by kind and name, client blocks included; kNotFound if absent.
   Result<Resource> Get(std::string_view aKind, std::string_view aName) const;
   // Calls `aVisit` for every resource of a kind in order of name; for client
   // blocks too, which are rebuilt one by one.
   void ForEach(std::string_view aKind, const std::function<void(const Resource&)>& aVisit) const;
+  // Calls `aVisit` for every client block in order of address, without building
+  // resources. The region's name holds until the next change.
+  using BlockVisitor =
+    std::function<void(std::uint32_t aAddress, std::uint8_t aLength, std::string_view aRegion)>;
+  void ForEachBlock(const BlockVisitor& aVisit) const;
   std::size_t Count(std::string_view aKind) const;
 
   // --- Changing --------------------------------------------------------------
--- /dev/null
+++ b/src/policy/config/client_blocks.cc
@@ -0,0 +1,64 @@
+#include "policy/config/configuration_impl.h"
+
+#include <algorithm>
+
+namespace plantainhaven {
+
+namespace {
+
+struct NamedBlock
+{
+  std::string name;
+  const PackedBlock* block = nullptr;
+};
+
+} // namespace
+
+Resource
+UnpackBlock(const BlockTable& aTable, const PackedBlock& aBlock)
+{
+  Resource resource;
+  resource.set_name(BlockName(aBlock.Prefix()));
+  resource.set_version(aBlock.version);
+  resource.mutable_client_block()->set_cidr(FormatCidr(aBlock.Prefix()));
+  resource.mutable_client_block()->set_region(aTable.RegionOf(aBlock));
+  return resource;
+}
+
+Result<BlockEdit>
+PackBlock(const Resource& aResource, Revision aVersion)
+{
+  const ClientBlock& block = aResource.client_block();
+  const Result<Ipv4Prefix> prefix = ParseCidr(block.cidr());
+  if (!IsOk(prefix)) {
+    Error error = ErrorOf(prefix);
+    error.field = "client_block.cidr";
+    return error;
+  }
+  const std::string name = BlockName(ValueOf(prefix));
+  if (aResource.name() != name) {
+    return Error{ ErrorKind::kInvalid,
+                  "is \"" + aResource.name() + "\", expected \"" + name + "\"",
+                  "name the block after its CIDR, with _ in place of /",
+                  "name" };
+  }
+  return BlockEdit{ ValueOf(prefix), block.region(), aVersion, false };
+}
+
+void
+ForEachBlockByName(const BlockTable& aTable, const std::function<void(const PackedBlock&)>& aVisit)
+{
+  std::vector<NamedBlock> named;
+  named.reserve(aTable.Size());
+  aTable.ForEach([&](const PackedBlock& aBlock) {
+    named.push_back({ BlockName(aBlock.Prefix()), &aBlock });
+  });
+  std::sort(named.begin(), named.end(), [](const NamedBlock& aLeft, const NamedBlock& aRight) {
+    return aLeft.name < aRight.name;
+  });
+  for (const NamedBlock& entry : named) {
+    aVisit(*entry.block);
+  }
+}
+
+} // namespace plantainhaven
--- /dev/null
+++ b/src/policy/config/kinds.cc
@@ -0,0 +1,46 @@
+#include "plantainhaven/policy/config/configuration.h"
+#include "policy/config/configuration_impl.h"
+
+namespace plantainhaven {
+
+namespace {
+
+const google::protobuf::OneofDescriptor*
+SpecOneof()
+{
+  return Resource::descriptor()->FindOneofByName("spec");
+}
+
+std::vector<std::string>
+ReadKinds()
+{
+  std::vector<std::string> kinds;
+  for (int index = 0; index < SpecOneof()->field_count(); ++index) {
+    kinds.push_back(SpecOneof()->field(index)->name());
+  }
+  return kinds;
+}
+
+} // namespace
+
+std::string
+KindOf(const Resource& aResource)
+{
+  const auto* field = Resource::GetReflection()->GetOneofFieldDescriptor(aResource, SpecOneof());
+  return field == nullptr ? std::string{} : field->name();
+}
+
+const std::vector<std::string>&
+AllKinds()
+{
+  static const std::vector<std::string> kKinds = ReadKinds();
+  return kKinds;
+}
+
+bool
+IsTrafficKind(std::string_view aKind)
+{
+  return aKind != kClientBlockKind;
+}
+
+} // namespace plantainhaven
--- /dev/null
+++ b/src/policy/config/snapshot.cc
@@ -0,0 +1,192 @@
+#include "plantainhaven/policy/config/configuration.h"
+#include "policy/config/configuration_impl.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+namespace plantainhaven {
+
+namespace {
+
+// Buckets that a configuration is cut into. Every VM must use the same number, or
+// equal configurations would give different chunks.
+constexpr std::size_t kSnapshotBuckets = 512;
+
+struct Bucket
+{
+  std::vector<const Resource*> resources;
+  std::vector<const PackedBlock*> blocks;
+};
+
+using Buckets = std::array<Bucket, kSnapshotBuckets>;
+
+// FNV-1a with 64 bits: the same on every machine and in every version.
+std::uint64_t
+HashName(std::string_view aKind, std::string_view aName)
+{
+  constexpr std::uint64_t kOffset = 0xcbf29ce484222325;
+  constexpr std::uint64_t kPrime = 0x100000001b3;
+  std::uint64_t hash = kOffset;
+  const auto add = [&](std::string_view aBytes) {
+    for (const char byte : aBytes) {
+      hash = (hash ^ static_cast<unsigned char>(byte)) * kPrime;
+    }
+  };
+  add(aKind);
+  add("/");
+  add(aName);
+  return hash;
+}
+
+std::size_t
+BucketOf(std::string_view aKind, std::string_view aName)
+{
+  // The low bits of FNV-1a are the weaker ones, so the high ones are mixed in.
+  const std::uint64_t hash = HashName(aKind, aName);
+  return (hash ^ hash >> 32) % kSnapshotBuckets;
+}
+
+// Resources come in order of kind and name, blocks last.
+std::string
+Serialise(const Bucket& aBucket, const BlockTable& aTable)
+{
+  SnapshotChunk chunk;
+  for (const Resource* resource : aBucket.resources) {
+    *chunk.add_resources() = *resource;
+  }
+  const int firstBlock = chunk.resources_size();
+  for (const PackedBlock* block : aBucket.blocks) {
+    *chunk.add_resources() = UnpackBlock(aTable, *block);
+  }
+  std::sort(
+    chunk.mutable_resources()->begin() + firstBlock,
+    chunk.mutable_resources()->end(),
+    [](const Resource& aLeft, const Resource& aRight) { return aLeft.name() < aRight.name(); });
+  return chunk.SerializeAsString();
+}
+
+Error
+BadChunk(std::string aMessage)
+{
+  return { ErrorKind::kInvalid,
+           "snapshot: " + std::move(aMessage),
+           "fetch the snapshot again, or from another place" };
+}
+
+// Gathers a snapshot's resources and refuses what no configuration can hold.
+class SnapshotReader
+{
+public:
+  explicit SnapshotReader(Revision aRevision)
+    : revision(aRevision)
+  {
+  }
+
+  Result<Done> Read(const std::string& aChunk)
+  {
+    SnapshotChunk chunk;
+    if (!chunk.ParseFromString(aChunk)) {
+      return BadChunk("a chunk of " + std::to_string(aChunk.size()) + " bytes doesn't parse");
+    }
+    for (Resource& resource : *chunk.mutable_resources()) {
+      if (Result<Done> added = this->Add(std::move(resource)); !IsOk(added)) {
+        return added;
+      }
+    }
+    return Done{};
+  }
+
+  Result<Done> Store(std::map<std::string, SharedResourceMap, std::less<>>& aKinds,
+                     BlockTable& aBlocks)
+  {
+    for (auto& [kind, read] : this->resources) {
+      aKinds[kind] = std::make_shared<const ResourceMap>(std::move(read));
+    }
+    const std::size_t expected = this->blocks.size();
+    aBlocks.Edit(std::move(this->blocks));
+    if (aBlocks.Size() != expected) {
+      return BadChunk("a client block occurs twice");
+    }
+    return Done{};
+  }
+
+private:
+  Result<Done> Add(Resource aResource)
+  {
+    const std::string kind = KindOf(aResource);
+    const std::string name = aResource.name();
+    if (kind.empty() || name.empty()) {
+      return BadChunk("a resource lacks its kind or its name");
+    }
+    if (aResource.version() == 0 || aResource.version() > this->revision) {
+      return BadChunk(kind + " \"" + name + "\" has version " +
+                      std::to_string(aResource.version()) + ", expected 1 to " +
+                      std::to_string(this->revision));
+    }
+    if (kind == kClientBlockKind) {
+      return this->AddBlock(aResource);
+    }
+    auto stored = std::make_shared<const Resource>(std::move(aResource));
+    const bool added = this->resources[kind].emplace(name, std::move(stored)).second;
+    return added ? Result<Done>(Done{}) : BadChunk(kind + " \"" + name + "\" occurs twice");
+  }
+
+  Result<Done> AddBlock(const Resource& aResource)
+  {
+    Result<BlockEdit> edit = PackBlock(aResource, aResource.version());
+    if (!IsOk(edit)) {
+      return BadChunk(ErrorOf(edit).field + " " + ErrorOf(edit).message);
+    }
+    this->blocks.push_back(std::move(ValueOf(edit)));
+    return Done{};
+  }
+
+  Revision revision;
+  std::map<std::string, ResourceMap> resources;
+  std::vector<BlockEdit> blocks;
+};
+
+} // namespace
+
+std::vector<std::string>
+Configuration::ToChunks() const
+{
+  auto buckets = std::make_unique<Buckets>();
+  for (const auto& [kind, resources] : this->impl->kinds) {
+    for (const auto& [name, resource] : *resources) {
+      (*buckets)[BucketOf(kind, name)].resources.push_back(resource.get());
+    }
+  }
+  this->impl->blocks.ForEach([&](const PackedBlock& aBlock) {
+    const std::size_t bucket = BucketOf(kClientBlockKind, BlockName(aBlock.Prefix()));
+    (*buckets)[bucket].blocks.push_back(&aBlock);
+  });
+  std::vector<std::string> chunks;
+  for (const Bucket& bucket : *buckets) {
+    if (!bucket.resources.empty() || !bucket.blocks.empty()) {
+      chunks.push_back(Serialise(bucket, this->impl->blocks));
+    }
+  }
+  return chunks;
+}
+
+Result<Configuration>
+Configuration::FromChunks(Revision aRevision, const std::vector<std::string>& aChunks)
+{
+  SnapshotReader reader(aRevision);
+  for (const std::string& chunk : aChunks) {
+    if (Result<Done> read = reader.Read(chunk); !IsOk(read)) {
+      return ErrorOf(read);
+    }
+  }
+  Configuration configuration;
+  Impl& impl = *configuration.impl;
+  if (Result<Done> stored = reader.Store(impl.kinds, impl.blocks); !IsOk(stored)) {
+    return ErrorOf(stored);
+  }
+  impl.revision = aRevision;
+  return configuration;
+}
+
+} // namespace plantainhaven
