--- a/src/policy/config/cidr.cc
+++ b/src/policy/config/cidr.cc
@@ -2,7 +2,6 @@
 
 #include <arpa/inet.h>
 
-#include <algorithm>
 #include <charconv>
 
 namespace plantainhaven {
@@ -80,34 +79,30 @@
   return text + std::to_string(aPrefix.length);
 }
 
-Error
-CidrError(std::string_view aCidr, std::string aExpected, std::string aRemedy)
-{
-  const std::string actual(aCidr);
-  return { ErrorKind::kInvalid,
-           "is \"" + actual + "\", expected " + std::move(aExpected),
-           std::move(aRemedy) };
-}
-
 } // namespace
 
-Result<Ipv4Prefix>
+std::variant<Ipv4Prefix, FieldFault>
 ParseCidr(std::string_view aCidr)
 {
+  const std::string actual = Quote(std::string(aCidr));
   if (aCidr.find(':') != std::string_view::npos) {
-    return CidrError(aCidr,
-                     "an IPv4 block; IPv6 blocks aren't supported",
-                     "write the IPv4 blocks of these clients");
+    return FieldFault{ {},
+                       actual,
+                       "an IPv4 block; IPv6 blocks aren't supported",
+                       "write the IPv4 blocks of these clients" };
   }
   const std::optional<Ipv4Prefix> prefix = ParsePrefix(aCidr, '/');
   if (!prefix) {
-    return CidrError(aCidr, "an IPv4 block", "write ADDRESS/LENGTH, for example 10.1.2.0/24");
+    return FieldFault{
+      {}, actual, "an IPv4 block", "write ADDRESS/LENGTH, for example 10.1.2.0/24"
+    };
   }
   const Ipv4Prefix canonical{ prefix->address & MaskOf(prefix->length), prefix->length };
   if (canonical != *prefix) {
-    return CidrError(aCidr,
-                     "no address bits set beyond the length",
-                     "write " + FormatCidr(canonical) + " if the whole block is meant");
+    return FieldFault{ {},
+                       actual,
+                       "no address bits set beyond the length",
+                       "write " + FormatCidr(canonical) + " if the whole block is meant" };
   }
   return canonical;
 }
--- a/src/policy/config/cidr.h
+++ b/src/policy/config/cidr.h
@@ -1,11 +1,12 @@
 #pragma once
 
-#include "plantainhaven/common/result.h"
+#include "policy/config/faults.h"
 
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 
 namespace plantainhaven {
 
@@ -18,9 +19,9 @@
   friend auto operator<=>(const Ipv4Prefix&, const Ipv4Prefix&) = default;
 };
 
-// Reads a canonical CIDR such as 10.1.2.0/24. kInvalid when it doesn't parse, is
-// IPv6 or has address bits set beyond its length; the remedy says which.
-Result<Ipv4Prefix>
+// Reads a canonical CIDR such as 10.1.2.0/24. A fault, whose field is left empty,
+// when it doesn't parse, is IPv6 or has address bits set beyond its length.
+std::variant<Ipv4Prefix, FieldFault>
 ParseCidr(std::string_view aCidr);
 
 // Writes a prefix as 10.1.2.0/24.
--- a/src/policy/config/client_blocks.cc
+++ b/src/policy/config/client_blocks.cc
@@ -25,24 +25,25 @@
   return resource;
 }
 
-Result<BlockEdit>
+PackResult
 PackBlock(const Resource& aResource, Revision aVersion)
 {
   const ClientBlock& block = aResource.client_block();
-  const Result<Ipv4Prefix> prefix = ParseCidr(block.cidr());
-  if (!IsOk(prefix)) {
-    Error error = ErrorOf(prefix);
-    error.field = "client_block.cidr";
-    return error;
+  const std::variant<Ipv4Prefix, FieldFault> parsed = ParseCidr(block.cidr());
+  if (const auto* fault = std::get_if<FieldFault>(&parsed)) {
+    FieldFault named = *fault;
+    named.field = "client_block.cidr";
+    return named;
   }
-  const std::string name = BlockName(ValueOf(prefix));
+  const Ipv4Prefix prefix = std::get<Ipv4Prefix>(parsed);
+  const std::string name = BlockName(prefix);
   if (aResource.name() != name) {
-    return Error{ ErrorKind::kInvalid,
-                  "is \"" + aResource.name() + "\", expected \"" + name + "\"",
-                  "name the block after its CIDR, with _ in place of /",
-                  "name" };
+    return FieldFault{ "name",
+                       Quote(aResource.name()),
+                       Quote(name),
+                       "name the block after its CIDR, with _ in place of /" };
   }
-  return BlockEdit{ ValueOf(prefix), block.region(), aVersion, false };
+  return BlockEdit{ prefix, block.region(), aVersion, false };
 }
 
 void
--- a/src/policy/config/configuration.cc
+++ b/src/policy/config/configuration.cc
@@ -92,11 +92,11 @@
 
   Result<Done> PutBlock(const Resource& aResource)
   {
-    Result<BlockEdit> edit = PackBlock(aResource, this->revision);
-    if (!IsOk(edit)) {
-      return ErrorOf(edit);
+    PackResult edit = PackBlock(aResource, this->revision);
+    if (const auto* fault = std::get_if<FieldFault>(&edit)) {
+      return MakeFault(aResource, *fault);
     }
-    this->blocks.push_back(std::move(ValueOf(edit)));
+    this->blocks.push_back(std::get<BlockEdit>(std::move(edit)));
     return Done{};
   }
 
--- a/src/policy/config/configuration_impl.h
+++ b/src/policy/config/configuration_impl.h
@@ -2,6 +2,7 @@
 
 #include "plantainhaven/policy/config/configuration.h"
 #include "policy/config/block_table.h"
+#include "policy/config/faults.h"
 
 #include <map>
 #include <memory>
@@ -28,9 +29,11 @@
 Resource
 UnpackBlock(const BlockTable& aTable, const PackedBlock& aBlock);
 
-// The edit that stores a client_block resource; kInvalid when its CIDR doesn't parse
+using PackResult = std::variant<BlockEdit, FieldFault>;
+
+// The edit that stores a client_block resource; a fault when its CIDR doesn't parse
 // or its name isn't the one that the CIDR demands.
-Result<BlockEdit>
+PackResult
 PackBlock(const Resource& aResource, Revision aVersion);
 
 // Calls `aVisit` for every client block in order of name.
--- /dev/null
+++ b/src/policy/config/cross_rules.cc
@@ -0,0 +1,223 @@
+#include "policy/config/cross_rules.h"
+
+#include "policy/config/configuration_impl.h"
+#include "policy/config/faults.h"
+#include "policy/config/place_rules.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <optional>
+#include <utility>
+
+namespace plantainhaven {
+
+namespace {
+
+constexpr std::size_t kDigestLength = 64;
+constexpr double kWholePercent = 100;
+// Lets percents such as 33.3, 33.3 and 33.4 add up in binary.
+constexpr double kPercentTolerance = 1e-6;
+
+// Another resource of the same kind for which `aClashes` holds, or an empty name.
+template<typename Predicate>
+std::string
+FindOther(const Resource& aResource, const WriteView& aView, Predicate aClashes)
+{
+  std::string found;
+  aView.ForEach(KindOf(aResource), [&](const Resource& aOther) {
+    if (aOther.name() != aResource.name() && aClashes(aOther)) {
+      found = aOther.name();
+    }
+  });
+  return found;
+}
+
+Fault
+CheckMethod(const std::string& aMethod)
+{
+  const bool upperCase = std::all_of(
+    aMethod.begin(), aMethod.end(), [](char aByte) { return aByte >= 'A' && aByte <= 'Z'; });
+  if (upperCase || aMethod == "*") {
+    return std::nullopt;
+  }
+  return FieldFault{
+    "route.method", Quote(aMethod), "an HTTP method in upper case or *", "write GET, POST or *"
+  };
+}
+
+Fault
+CheckPathPrefix(const std::string& aPrefix)
+{
+  const bool plain = std::all_of(aPrefix.begin(), aPrefix.end(), [](char aByte) {
+    return aByte > ' ' && aByte < '\x7f' && aByte != '?' && aByte != '#';
+  });
+  if (aPrefix.front() == '/' && plain) {
+    return std::nullopt;
+  }
+  return FieldFault{ "route.path_prefix",
+                     Quote(aPrefix),
+                     "a path that begins with / and has no blanks, query or fragment",
+                     "write a path such as /lessons, with other characters percent-encoded" };
+}
+
+Fault
+CheckRoute(const Resource& aResource, const WriteView& aView)
+{
+  const Route& route = aResource.route();
+  if (Fault fault = CheckMethod(route.method())) {
+    return fault;
+  }
+  if (Fault fault = CheckPathPrefix(route.path_prefix())) {
+    return fault;
+  }
+  const std::string other = FindOther(aResource, aView, [&](const Resource& aOther) {
+    return aOther.route().method() == route.method() &&
+           aOther.route().path_prefix() == route.path_prefix();
+  });
+  if (other.empty()) {
+    return std::nullopt;
+  }
+  return FieldFault{ "route.path_prefix",
+                     Quote(route.path_prefix()),
+                     "one that no other route has with method " + route.method(),
+                     "change or delete route " + Quote(other) };
+}
+
+Fault
+CheckKey(const Resource& aResource, const WriteView& aView)
+{
+  const std::string& digest = aResource.key().digest();
+  const bool hexadecimal = std::all_of(digest.begin(), digest.end(), [](char aByte) {
+    return (aByte >= '0' && aByte <= '9') || (aByte >= 'a' && aByte <= 'f');
+  });
+  if (digest.size() != kDigestLength || !hexadecimal) {
+    return FieldFault{ "key.digest",
+                       std::to_string(digest.size()) + " characters",
+                       "64 hexadecimal digits in lower case",
+                       "write the SHA-256 of the key, never the key itself" };
+  }
+  const std::string other = FindOther(
+    aResource, aView, [&](const Resource& aOther) { return aOther.key().digest() == digest; });
+  if (other.empty()) {
+    return std::nullopt;
+  }
+  return FieldFault{ "key.digest",
+                     "the digest of key " + Quote(other),
+                     "one that no other key has",
+                     "issue a new key" };
+}
+
+Fault
+CheckWeights(const TrafficPolicy& aPolicy)
+{
+  std::set<std::string> regions;
+  double sum = 0;
+  for (const TrafficPolicy::Weight& weight : aPolicy.weights()) {
+    sum += weight.percent();
+    if (!regions.insert(weight.region()).second) {
+      return FieldFault{ "traffic_policy.weights",
+                         "region " + Quote(weight.region()) + " twice",
+                         "each region once",
+                         "add its percents up in one weight" };
+    }
+  }
+  if (std::abs(sum - kWholePercent) <= kPercentTolerance) {
+    return std::nullopt;
+  }
+  return FieldFault{ "traffic_policy.weights",
+                     "a split with the sum " + ToText(sum) + " %",
+                     "the sum 100 %",
+                     "correct the percents" };
+}
+
+Fault
+CheckTrafficPolicy(const Resource& aResource, const WriteView& aView)
+{
+  const TrafficPolicy& policy = aResource.traffic_policy();
+  if (Fault fault = CheckWeights(policy)) {
+    return fault;
+  }
+  const std::string other = FindOther(aResource, aView, [&](const Resource& aOther) {
+    return aOther.traffic_policy().service() == policy.service();
+  });
+  if (other.empty()) {
+    return std::nullopt;
+  }
+  return FieldFault{ "traffic_policy.service",
+                     Quote(policy.service()),
+                     "a service without another traffic policy",
+                     "change traffic_policy " + Quote(other) + " instead" };
+}
+
+Fault
+CheckLink(const Resource& aResource, const WriteView& aView)
+{
+  const Link& link = aResource.link();
+  if (link.from_region() == link.to_region()) {
+    return FieldFault{ "link.to_region",
+                       Quote(link.to_region()),
+                       "another region than from_region",
+                       "traffic inside a region needs no link" };
+  }
+  const std::string other = FindOther(aResource, aView, [&](const Resource& aOther) {
+    return aOther.link().from_region() == link.from_region() &&
+           aOther.link().to_region() == link.to_region();
+  });
+  if (other.empty()) {
+    return std::nullopt;
+  }
+  return FieldFault{ "link.to_region",
+                     Quote(link.to_region()),
+                     "a direction that no other link has",
+                     "change link " + Quote(other) + " instead" };
+}
+
+Fault
+CheckClientBlock(const Resource& aResource, const WriteView&)
+{
+  const PackResult edit = PackBlock(aResource, 0);
+  const auto* fault = std::get_if<FieldFault>(&edit);
+  return fault == nullptr ? Fault{} : Fault(*fault);
+}
+
+Fault
+NoCheck(const Resource&, const WriteView&)
+{
+  return std::nullopt;
+}
+
+struct KindCheck
+{
+  Resource::SpecCase kind;
+  Fault (*check)(const Resource&, const WriteView&);
+};
+
+constexpr std::array kKindChecks{
+  KindCheck{ Resource::kRegion, CheckRegion },
+  KindCheck{ Resource::kService, NoCheck },
+  KindCheck{ Resource::kBackendServer, CheckBackendServer },
+  KindCheck{ Resource::kRoute, CheckRoute },
+  KindCheck{ Resource::kClientAccount, NoCheck },
+  KindCheck{ Resource::kKey, CheckKey },
+  KindCheck{ Resource::kTrafficPolicy, CheckTrafficPolicy },
+  KindCheck{ Resource::kLink, CheckLink },
+  KindCheck{ Resource::kClientBlock, CheckClientBlock },
+  KindCheck{ Resource::kEntryVm, CheckEntryVm },
+};
+
+} // namespace
+
+Result<Done>
+CheckCrossRules(const Resource& aResource, const WriteView& aView)
+{
+  for (const KindCheck& entry : kKindChecks) {
+    if (entry.kind == aResource.spec_case()) {
+      const Fault fault = entry.check(aResource, aView);
+      return fault ? Result<Done>(MakeFault(aResource, *fault)) : Result<Done>(Done{});
+    }
+  }
+  return Done{};
+}
+
+} // namespace plantainhaven
--- /dev/null
+++ b/src/policy/config/field_rules.cc
@@ -0,0 +1,214 @@
+#include "policy/config/field_rules.h"
+
+#include "policy/config/faults.h"
+
+#include <functional>
+#include <optional>
+
+#include <google/protobuf/duration.pb.h>
+
+#include "options.pb.h"
+
+namespace plantainhaven {
+
+namespace {
+
+using google::protobuf::Descriptor;
+using google::protobuf::FieldDescriptor;
+using google::protobuf::Message;
+using google::protobuf::Reflection;
+
+constexpr double kSecondsPerNanosecond = 1e-9;
+
+// One value of a message: the element at `index` of a repeated field, or the field.
+struct FieldValue
+{
+  const Message& message;
+  const FieldDescriptor& field;
+  const Rule& rule;
+  std::string path;
+  int index = 0;
+
+  const Reflection& Reflect() const { return *this->message.GetReflection(); }
+};
+
+std::string
+ReadString(const FieldValue& aValue)
+{
+  return aValue.field.is_repeated()
+           ? aValue.Reflect().GetRepeatedString(aValue.message, &aValue.field, aValue.index)
+           : aValue.Reflect().GetString(aValue.message, &aValue.field);
+}
+
+const Message&
+ReadMessage(const FieldValue& aValue)
+{
+  return aValue.field.is_repeated()
+           ? aValue.Reflect().GetRepeatedMessage(aValue.message, &aValue.field, aValue.index)
+           : aValue.Reflect().GetMessage(aValue.message, &aValue.field);
+}
+
+bool
+IsDuration(const FieldDescriptor& aField)
+{
+  return aField.cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE &&
+         aField.message_type() == google::protobuf::Duration::descriptor();
+}
+
+double
+SecondsOf(const Message& aMessage)
+{
+  const auto& duration = static_cast<const google::protobuf::Duration&>(aMessage);
+  return static_cast<double>(duration.seconds()) + duration.nanos() * kSecondsPerNanosecond;
+}
+
+// The number that a range applies to; nothing for a field that holds none.
+std::optional<double>
+ReadNumber(const FieldValue& aValue)
+{
+  const Reflection& reflect = aValue.Reflect();
+  switch (aValue.field.cpp_type()) {
+    case FieldDescriptor::CPPTYPE_DOUBLE:
+      return reflect.GetDouble(aValue.message, &aValue.field);
+    case FieldDescriptor::CPPTYPE_UINT32:
+      return reflect.GetUInt32(aValue.message, &aValue.field);
+    case FieldDescriptor::CPPTYPE_UINT64:
+      return static_cast<double>(reflect.GetUInt64(aValue.message, &aValue.field));
+    case FieldDescriptor::CPPTYPE_MESSAGE:
+      return IsDuration(aValue.field) ? std::optional(SecondsOf(ReadMessage(aValue)))
+                                      : std::nullopt;
+    default:
+      return std::nullopt;
+  }
+}
+
+// True when the whole field, not just one element, is absent.
+bool
+IsEmpty(const Message& aMessage, const FieldDescriptor& aField)
+{
+  const Reflection& reflect = *aMessage.GetReflection();
+  return aField.is_repeated() ? reflect.FieldSize(aMessage, &aField) == 0
+                              : !reflect.HasField(aMessage, &aField);
+}
+
+std::optional<FieldFault>
+CheckRequired(const FieldValue& aValue)
+{
+  const bool empty = IsEmpty(aValue.message, aValue.field);
+  const bool emptyElement = !empty && aValue.field.cpp_type() == FieldDescriptor::CPPTYPE_STRING &&
+                            ReadString(aValue).empty();
+  if (!aValue.rule.required() || !(empty || emptyElement)) {
+    return std::nullopt;
+  }
+  return FieldFault{ aValue.path, "missing", "a value", "set it: " + aValue.rule.help() };
+}
+
+std::optional<FieldFault>
+CheckRange(const FieldValue& aValue)
+{
+  const std::optional<double> number = ReadNumber(aValue);
+  const Rule& rule = aValue.rule;
+  // Written so that NaN is out of range.
+  const bool inRange = number && *number >= rule.min() && *number <= rule.max();
+  if (!rule.has_range() || !number || inRange) {
+    return std::nullopt;
+  }
+  const std::string unit = rule.unit().empty() ? "" : " " + rule.unit();
+  return FieldFault{ aValue.path,
+                     ToText(*number) + unit,
+                     ToText(rule.min()) + " to " + ToText(rule.max()) + unit,
+                     "choose a value in this range: " + rule.help() };
+}
+
+void
+Walk(const Message& aMessage,
+     const std::string& aPath,
+     const std::function<void(const FieldValue&)>& aVisit);
+
+// Visits one field: each of its elements, or once the empty field itself.
+void
+WalkField(const Message& aMessage,
+          const FieldDescriptor& aField,
+          const std::string& aPath,
+          const std::function<void(const FieldValue&)>& aVisit)
+{
+  const Rule& rule = aField.options().GetExtension(plantainhaven::rule);
+  const int size =
+    aField.is_repeated() ? aMessage.GetReflection()->FieldSize(aMessage, &aField) : 1;
+  if (size == 0) {
+    aVisit({ aMessage, aField, rule, aPath });
+  }
+  for (int index = 0; index < size; ++index) {
+    const std::string path =
+      aField.is_repeated() ? aPath + '[' + std::to_string(index) + ']' : aPath;
+    const FieldValue value{ aMessage, aField, rule, path, index };
+    aVisit(value);
+    if (aField.cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE && !IsDuration(aField)) {
+      Walk(ReadMessage(value), path, aVisit);
+    }
+  }
+}
+
+void
+Walk(const Message& aMessage,
+     const std::string& aPath,
+     const std::function<void(const FieldValue&)>& aVisit)
+{
+  const Descriptor& descriptor = *aMessage.GetDescriptor();
+  for (int index = 0; index < descriptor.field_count(); ++index) {
+    const FieldDescriptor& field = *descriptor.field(index);
+    WalkField(aMessage, field, aPath + '.' + field.name(), aVisit);
+  }
+}
+
+// Walks the part of a resource that its kind defines.
+void
+WalkSpec(const Resource& aResource, const std::function<void(const FieldValue&)>& aVisit)
+{
+  const std::string kind = KindOf(aResource);
+  const FieldDescriptor* spec = Resource::descriptor()->FindFieldByName(kind);
+  Walk(Resource::GetReflection()->GetMessage(aResource, spec), kind, aVisit);
+}
+
+std::optional<FieldFault>
+CheckReference(const Reference& aReference, const WriteView& aView)
+{
+  if (aView.Exists(aReference.kind, aReference.name)) {
+    return std::nullopt;
+  }
+  return FieldFault{ aReference.field,
+                     Quote(aReference.name),
+                     "the name of an existing " + aReference.kind,
+                     "create it first or in the same write, or name one of: " +
+                       aView.NamesOf(aReference.kind) };
+}
+
+} // namespace
+
+std::vector<Reference>
+ReferencesOf(const Resource& aResource)
+{
+  std::vector<Reference> references;
+  WalkSpec(aResource, [&](const FieldValue& aValue) {
+    if (!aValue.rule.refers_to().empty() && !IsEmpty(aValue.message, aValue.field)) {
+      references.push_back({ aValue.path, aValue.rule.refers_to(), ReadString(aValue) });
+    }
+  });
+  return references;
+}
+
+Result<Done>
+CheckFieldRules(const Resource& aResource, const WriteView& aView)
+{
+  std::optional<FieldFault> fault;
+  WalkSpec(aResource, [&](const FieldValue& aValue) {
+    fault = fault ? fault : CheckRequired(aValue);
+    fault = fault ? fault : CheckRange(aValue);
+  });
+  for (const Reference& reference : ReferencesOf(aResource)) {
+    fault = fault ? fault : CheckReference(reference, aView);
+  }
+  return fault ? Result<Done>(MakeFault(aResource, *fault)) : Result<Done>(Done{});
+}
+
+} // namespace plantainhaven
--- a/src/policy/config/snapshot.cc
+++ b/src/policy/config/snapshot.cc
@@ -134,11 +134,11 @@
 
   Result<Done> AddBlock(const Resource& aResource)
   {
-    Result<BlockEdit> edit = PackBlock(aResource, aResource.version());
-    if (!IsOk(edit)) {
-      return BadChunk(ErrorOf(edit).field + " " + ErrorOf(edit).message);
+    PackResult edit = PackBlock(aResource, aResource.version());
+    if (const auto* fault = std::get_if<FieldFault>(&edit)) {
+      return BadChunk(MakeFault(aResource, *fault).message);
     }
-    this->blocks.push_back(std::move(ValueOf(edit)));
+    this->blocks.push_back(std::get<BlockEdit>(std::move(edit)));
     return Done{};
   }
 
