Decide from dated evidence whether a view of the configuration is fresh

FleetView joins five parts: evidence dated by its ask, acceptance over every voter list since the last accepted revision, recovery of a restarted voter, health of the members, and the roster that says who votes and who asks whom.

--- a/include/plantainhaven/policy/view/fleet_view.h
+++ b/include/plantainhaven/policy/view/fleet_view.h
@@ -61,6 +61,8 @@
 // the head revision, as a voter it repeats the head it knows, and as a writer's helper
 // it counts acknowledgements. See docs/design/fresh-view.md for the proof.
 // Not thread-safe; reads no clock; every effect is a returned message.
+// `aNow` of an event must be read after the event took place, for a message after it
+// was received; `aAskedAt` must be read before the question was sent.
 class FleetView
 {
 public:
@@ -82,6 +84,10 @@
   void OnTableHead(Revision aHead, BootTime aAskedAt, BootTime aNow);
   // This VM committed `aRevision` itself, or was pushed a committed change.
   void OnCommitted(Revision aRevision, BootTime aNow);
+  // An operator's write through this VM was committed as `aRevision`. The same as
+  // OnCommitted(), and voters are asked for their acknowledgements at a faster pace until
+  // the revision is accepted. A VM that is no voter needs this to name MissingVoters().
+  void OnWritten(Revision aRevision, BootTime aNow);
   // The platform's VM list was read.
   void OnVmList(const VmListAnswer& aList, BootTime aNow);
   // This VM began to stop.
--- /dev/null
+++ b/src/policy/view/fleet_view_impl.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "plantainhaven/policy/view/fleet_view.h"
+
+#include "policy/view/acceptance.h"
+#include "policy/view/ask_log.h"
+#include "policy/view/evidence.h"
+#include "policy/view/health.h"
+#include "policy/view/roster.h"
+#include "policy/view/voter.h"
+
+#include <string>
+#include <vector>
+
+namespace plantainhaven {
+
+// Joins the parts of the rule: feeds each event to those that it concerns and turns
+// asks and answers into messages.
+struct FleetView::Impl
+{
+  Impl(FleetViewOptions aOptions, BootTime aNow);
+
+  // --- Events ---
+  void Begin(BootTime aNow);
+  void Count(BootTime aNow);
+  void TakeMembers(Revision aRevision, const std::vector<FleetMember>& aMembers, BootTime aNow);
+  std::vector<OutgoingEnvelope> OnHeadAsk(const Envelope& aMessage, BootTime aNow);
+  void OnHeadAnswer(const Envelope& aMessage, BootTime aNow);
+
+  // --- Asks ---
+  bool IsAskDue(BootTime aNow) const;
+  std::vector<std::string> VotersToAsk();
+  Nanoseconds AskInterval(BootTime aNow) const;
+  std::vector<OutgoingEnvelope> Ask(BootTime aNow);
+  Envelope Compose(const std::string& aTo, std::uint64_t aAskId) const;
+
+  bool IsWritePending() const;
+  BootTime FreshUntil() const;
+
+  FleetViewOptions options;
+  Roster roster;
+  Evidence evidence;
+  Acceptance acceptance;
+  Voter voter;
+  Health health;
+  AskLog asks;
+  Revision applied = 0;
+  Revision written = 0;
+  BootTime writtenAt{};
+  bool leaving = false;
+  BootTime lastEvent;
+  BootTime nextAsk;
+};
+
+} // namespace plantainhaven
--- /dev/null
+++ b/src/policy/view/roster.cc
@@ -0,0 +1,126 @@
+#include "policy/view/roster.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace plantainhaven {
+
+namespace {
+
+bool
+IsSame(const FleetMember& aLeft, const FleetMember& aRight)
+{
+  const auto fields = [](const FleetMember& aMember) {
+    return std::tie(
+      aMember.name, aMember.endpoint, aMember.failure_domain, aMember.incarnation, aMember.leaving);
+  };
+  return fields(aLeft) == fields(aRight);
+}
+
+} // namespace
+
+Roster::Roster(std::string aSelf)
+  : self(std::move(aSelf))
+{
+}
+
+bool
+Roster::Set(const std::vector<FleetMember>& aMembers, const std::vector<std::string>& aKept)
+{
+  const bool same = std::equal(
+    this->members.begin(), this->members.end(), aMembers.begin(), aMembers.end(), IsSame);
+  if (same) {
+    return false;
+  }
+  std::map<std::string, std::string> next;
+  for (const std::string& name : aKept) {
+    next[name] = EndpointOf(name);
+  }
+  for (const FleetMember& member : aMembers) {
+    next[member.name] = member.endpoint;
+  }
+  this->endpoints = std::move(next);
+  this->members = aMembers;
+  this->voters = VotersOf(aMembers);
+  this->homeVoter = FindHomeVoter();
+  return true;
+}
+
+const std::vector<FleetMember>&
+Roster::Members() const
+{
+  return this->members;
+}
+
+const std::vector<std::string>&
+Roster::Voters() const
+{
+  return this->voters;
+}
+
+bool
+Roster::SelfVotes() const
+{
+  return std::binary_search(this->voters.begin(), this->voters.end(), this->self);
+}
+
+std::string
+Roster::EndpointOf(const std::string& aName) const
+{
+  const auto found = this->endpoints.find(aName);
+  return found == this->endpoints.end() ? std::string() : found->second;
+}
+
+std::string
+Roster::DomainOf(const std::string& aName) const
+{
+  for (const FleetMember& member : this->members) {
+    if (member.name == aName) {
+      return member.failure_domain;
+    }
+  }
+  return {};
+}
+
+std::set<std::string>
+Roster::ExpectedHeartbeats() const
+{
+  if (!SelfVotes()) {
+    return {};
+  }
+  std::set<std::string> expected(this->voters.begin(), this->voters.end());
+  const std::string domain = DomainOf(this->self);
+  for (const FleetMember& member : this->members) {
+    if (member.failure_domain == domain) {
+      expected.insert(member.name);
+    }
+  }
+  expected.erase(this->self);
+  return expected;
+}
+
+std::string
+Roster::FindHomeVoter() const
+{
+  const std::string domain = DomainOf(this->self);
+  for (const std::string& voter : this->voters) {
+    if (!domain.empty() && DomainOf(voter) == domain) {
+      return voter;
+    }
+  }
+  return {};
+}
+
+std::string
+Roster::NextVoterToAsk()
+{
+  if (this->voters.empty()) {
+    return {};
+  }
+  this->turn += 1;
+  const std::string home = this->turn % 2 == 0 ? this->homeVoter : std::string();
+  return home.empty() ? this->voters[this->turn / 2 % this->voters.size()] : home;
+}
+
+} // namespace plantainhaven
--- /dev/null
+++ b/test/policy/view/schedule_test.cc
@@ -0,0 +1,152 @@
+#include "policy/view/schedule.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <string>
+
+namespace plantainhaven {
+
+namespace {
+
+constexpr std::uint64_t kDefaultSeeds = 300;
+constexpr Nanoseconds kFreshness = 3s;
+constexpr Nanoseconds kFaultTime = 25s;
+constexpr Nanoseconds kHealTime = 12s;
+
+// PLANTAINHAVEN_SEEDS asks for another number of schedules.
+std::uint64_t
+Seeds()
+{
+  const char* text = std::getenv("PLANTAINHAVEN_SEEDS");
+  return text == nullptr ? kDefaultSeeds : std::stoull(text);
+}
+
+// Judges a schedule after each event; `failure` holds the first broken rule.
+class Judge
+{
+public:
+  explicit Judge(const Schedule& aSchedule)
+    : schedule(aSchedule)
+    , last(aSchedule.Vms().size())
+    , acceptedAt{ Nanoseconds(0) }
+  {
+  }
+
+  bool Check()
+  {
+    for (std::size_t i = 0; i < this->last.size(); ++i) {
+      CheckGrowth(this->schedule.Vms()[i], this->last[i]);
+    }
+    for (const ScheduledVm& vm : this->schedule.Vms()) {
+      CheckFreshness(vm);
+    }
+    return this->failure.empty();
+  }
+
+  // The schedule has healed: everybody is fresh at the head, which is accepted.
+  void CheckHealed()
+  {
+    const Revision head = this->schedule.Head();
+    for (const ScheduledVm& vm : this->schedule.Vms()) {
+      const bool fresh = vm.view->FreshUntil() > this->schedule.ClockOf(vm);
+      if (!fresh || vm.applied != head || vm.view->AcceptedRevision() != head) {
+        Fail(vm,
+             "expected to be fresh at accepted head " + std::to_string(head) + ", is " +
+               (fresh ? "fresh" : "stale") + ", knows " + std::to_string(vm.view->KnownHead()) +
+               " and accepted " + std::to_string(vm.view->AcceptedRevision()));
+      }
+    }
+  }
+
+  std::string failure;
+
+private:
+  struct Seen
+  {
+    std::uint64_t incarnation = 0;
+    Revision head = 0;
+    Revision accepted = 0;
+    BootTime freshUntil{};
+  };
+
+  void Fail(const ScheduledVm& aVm, const std::string& aWhat)
+  {
+    if (this->failure.empty()) {
+      this->failure = "VM " + aVm.name + " at revision " + std::to_string(aVm.applied) + ", " +
+                      std::to_string(this->schedule.Now() / 1ms) + " ms: " + aWhat;
+    }
+  }
+
+  void CheckGrowth(const ScheduledVm& aVm, Seen& aSeen)
+  {
+    const FleetView& view = *aVm.view;
+    const Seen present{
+      aVm.incarnation, view.KnownHead(), view.AcceptedRevision(), view.FreshUntil()
+    };
+    if (present.head > this->schedule.Head() || present.accepted > this->schedule.Head()) {
+      Fail(aVm, "knows a revision that isn't committed");
+      return;
+    }
+    const bool same = aSeen.incarnation == present.incarnation;
+    if (same && (present.head < aSeen.head || present.accepted < aSeen.accepted ||
+                 present.freshUntil < aSeen.freshUntil)) {
+      Fail(aVm, "known head, accepted revision or freshness went down");
+    }
+    aSeen = present;
+    while (this->acceptedAt.size() <= present.accepted) {
+      this->acceptedAt.push_back(this->schedule.Now());
+    }
+  }
+
+  // The next revision, once accepted anywhere, ends the freshness of this one within T.
+  void CheckFreshness(const ScheduledVm& aVm)
+  {
+    const BootTime freshUntil = aVm.view->FreshUntil();
+    const Revision next = aVm.applied + 1;
+    if (freshUntil == BootTime{} || next >= this->acceptedAt.size()) {
+      return;
+    }
+    const Nanoseconds since = this->schedule.Now() - this->acceptedAt[next];
+    const Nanoseconds late = since + this->schedule.TimeUntil(aVm, freshUntil) - kFreshness;
+    if (late > 0ns) {
+      Fail(aVm,
+           "fresh " + std::to_string(late / 1us) + " us longer than T after " +
+             std::to_string(next) + " was accepted");
+    }
+  }
+
+  const Schedule& schedule;
+  std::vector<Seen> last;
+  // True time at which some VM first knew each revision to be accepted.
+  std::vector<Nanoseconds> acceptedAt;
+};
+
+std::string
+FirstFailure(std::uint64_t aSeed)
+{
+  Schedule schedule(aSeed);
+  Judge judge(schedule);
+  const auto check = [&judge] { return judge.Check(); };
+  schedule.Run(kFaultTime, true, check);
+  if (judge.failure.empty()) {
+    schedule.Heal();
+    schedule.Run(kFaultTime + kHealTime, false, check);
+  }
+  if (judge.failure.empty()) {
+    judge.CheckHealed();
+  }
+  return judge.failure;
+}
+
+TEST_CASE("No VM is fresh for longer than T after a later revision was accepted", "[schedule]")
+{
+  for (std::uint64_t seed = 1; seed <= Seeds(); ++seed) {
+    INFO("seed " << seed);
+    REQUIRE(FirstFailure(seed) == "");
+  }
+}
+
+} // namespace
+
+} // namespace plantainhaven
