--- a/include/plantainhaven/http/message.h
+++ b/include/plantainhaven/http/message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -43,6 +44,8 @@
   std::string body;
   // IP number of the other end; empty when not known.
   std::string remote_address = {};
+  // TCP port of the other end, which tells its connections apart; 0 when not known.
+  std::uint16_t remote_port = 0;
 
   // Value of a query parameter, decoded; empty when absent.
   std::string Query(std::string_view aName) const;
--- a/include/plantainhaven/http/server.h
+++ b/include/plantainhaven/http/server.h
@@ -15,9 +15,9 @@
 {
   std::string address;
   std::uint16_t port = 0;
-  // Threads, one per open connection being served.
+  // Threads, one per request being served; idle connections take none.
   std::size_t threads = 16;
-  // Connections that may wait for a thread; more get 503 and are closed.
+  // Connections with a request that may wait for a thread; more get 503 and are closed.
   std::size_t queue = 256;
   // Larger request bodies get 413.
   std::size_t max_body = 1 << 20;
@@ -51,6 +51,8 @@
   // Stops accepting, waits up to `aLongest` for requests in flight and returns how
   // many were still running.
   std::size_t Stop(std::chrono::milliseconds aLongest);
+  // The port that is listened on, also when the options gave 0 for any free one.
+  std::uint16_t Port() const;
   // Requests being handled now.
   std::size_t InFlight() const;
   // Connections refused because the queue was full.
--- a/src/http/parking.cc
+++ b/src/http/parking.cc
@@ -20,8 +20,10 @@
 
 } // namespace
 
-Parking::Parking(Ready aReady)
-  : ready(std::move(aReady))
+Parking::Parking(std::size_t aMaxHead, std::chrono::milliseconds aHeadTime, Ready aReady)
+  : maxHead(aMaxHead)
+  , headTime(aHeadTime)
+  , ready(std::move(aReady))
   , poller(::epoll_create1(EPOLL_CLOEXEC))
   , thread([this] { this->Watch(); })
 {
@@ -75,7 +77,7 @@
 {
   const std::lock_guard guard(this->mutex);
   std::erase_if(this->connections, [](const auto& aEntry) {
-    return !aEntry.second->isClosing && !aEntry.second->IsReadable();
+    return !aEntry.second->isClosing && aEntry.second->IsQuiet();
   });
 }
 
@@ -101,10 +103,24 @@
 {
   const auto now = Clock::now();
   const std::lock_guard guard(this->mutex);
-  std::erase_if(this->connections, [now](const auto& aEntry) {
-    const ServerConnection& connection = *aEntry.second;
-    return connection.expiry <= now && (connection.isClosing || !connection.IsReadable());
-  });
+  std::erase_if(this->connections,
+                [now](const auto& aEntry) { return aEntry.second->expiry <= now; });
+}
+
+bool
+Parking::KeepsWaiting(ServerConnection& aConnection) const
+{
+  if (aConnection.isClosing) {
+    return aConnection.Discard();
+  }
+  const bool isFirst = !aConnection.stream.HasInput();
+  if (aConnection.stream.TryReceiveHead(this->maxHead)) {
+    return false;
+  }
+  if (isFirst && aConnection.stream.HasInput()) {
+    aConnection.expiry = Clock::now() + this->headTime;
+  }
+  return true;
 }
 
 void
@@ -117,7 +133,7 @@
     if (found == this->connections.end()) {
       return;
     }
-    if (found->second->isClosing && found->second->Discard()) {
+    if (this->KeepsWaiting(*found->second)) {
       this->Arm(aDescriptor, EPOLL_CTL_MOD);
       return;
     }
--- a/src/http/parking.h
+++ b/src/http/parking.h
@@ -18,15 +18,16 @@
 public:
   using Ready = std::function<void(std::unique_ptr<ServerConnection>)>;
 
-  // `aReady` gets each connection on which a request begins to arrive. It is called
-  // on the watching thread and must not block.
-  explicit Parking(Ready aReady);
+  // `aReady` gets each connection that holds a whole request head, at most `aMaxHead`
+  // bytes of one, or the end. It is called on the watching thread and must not block.
+  // A head must be whole `aHeadTime` after its first byte.
+  Parking(std::size_t aMaxHead, std::chrono::milliseconds aHeadTime, Ready aReady);
   // Closes all connections.
   ~Parking();
   Parking(const Parking&) = delete;
   Parking& operator=(const Parking&) = delete;
 
-  // Watches a connection until it becomes readable or its expiry passes.
+  // Watches a connection until a request head came or its expiry passes.
   void Park(std::unique_ptr<ServerConnection> aConnection);
   // Ends the sending direction and closes once the other end has closed, or a
   // second later. Closing at once could destroy an answer still on its way.
@@ -44,8 +45,12 @@
   void Watch();
   void OnReadable(int aDescriptor);
   void CloseExpired();
+  // True when the connection is to be watched on.
+  bool KeepsWaiting(ServerConnection& aConnection) const;
   void Arm(int aDescriptor, int aOperation) const;
 
+  std::size_t maxHead;
+  std::chrono::milliseconds headTime;
   Ready ready;
   int poller;
   std::atomic<bool> stopping{ false };
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -15,14 +15,24 @@
 
 constexpr std::size_t kDiscardSize = 16384;
 
-std::string
-PeerAddress(int aDescriptor)
+// The other end of a connection; of another family than AF_INET when not known.
+sockaddr_in
+PeerName(int aDescriptor)
 {
   sockaddr_in address{};
   socklen_t size = sizeof(address);
+  if (::getpeername(aDescriptor, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
+    return {};
+  }
+  return address;
+}
+
+std::string
+PeerAddress(int aDescriptor)
+{
+  const sockaddr_in address = PeerName(aDescriptor);
   std::array<char, INET_ADDRSTRLEN> text{};
-  if (::getpeername(aDescriptor, reinterpret_cast<sockaddr*>(&address), &size) != 0 ||
-      address.sin_family != AF_INET) {
+  if (address.sin_family != AF_INET) {
     return {};
   }
   ::inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size());
@@ -35,6 +45,7 @@
   : stream(aDescriptor)
   , descriptor(aDescriptor)
   , remoteAddress(PeerAddress(aDescriptor))
+  , remotePort(ntohs(PeerName(aDescriptor).sin_port))
 {
   const int on = 1;
   ::setsockopt(this->descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
@@ -46,10 +57,10 @@
 }
 
 bool
-ServerConnection::IsReadable() const
+ServerConnection::IsQuiet() const
 {
   pollfd entry{ this->descriptor, POLLIN, 0 };
-  return ::poll(&entry, 1, 0) > 0;
+  return !this->stream.HasInput() && ::poll(&entry, 1, 0) == 0;
 }
 
 void
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 
 namespace plantainhaven {
@@ -19,8 +20,9 @@
 
   int Descriptor() const { return this->descriptor; }
   const std::string& RemoteAddress() const { return this->remoteAddress; }
-  // True when bytes or the end wait to be read.
-  bool IsReadable() const;
+  std::uint16_t RemotePort() const { return this->remotePort; }
+  // True when no part of a request has come.
+  bool IsQuiet() const;
   // Sends what fits at once and ends the sending direction.
   void SendLast(const std::string& aBytes);
   // Reads and drops what is there. False when the other end closed.
@@ -39,6 +41,7 @@
 private:
   int descriptor;
   std::string remoteAddress;
+  std::uint16_t remotePort;
 };
 
 } // namespace plantainhaven
--- a/src/http/socket_stream.cc
+++ b/src/http/socket_stream.cc
@@ -1,8 +1,10 @@
 #include "http/socket_stream.h"
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <cstring>
+#include <utility>
 
 #include <netinet/in.h>
 #include <poll.h>
@@ -82,32 +84,50 @@
   if (std::chrono::steady_clock::now() >= this->times.deadline) {
     return this->Fail(StreamFault::kTimeout);
   }
-  const std::size_t old = this->input.size();
-  this->input.resize(old + size);
+  std::array<char, kReadSize> bytes;
   ssize_t count = 0;
   do {
-    count = ::recv(this->descriptor, this->input.data() + old, size, MSG_DONTWAIT);
+    count = ::recv(this->descriptor, bytes.data(), size, MSG_DONTWAIT);
   } while (count < 0 && (errno == EINTR || (errno == EAGAIN && this->WaitFor(POLLIN))));
-  this->input.resize(old + static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
   if (count <= 0) {
     return this->Fail(count == 0 ? StreamFault::kEnd : StreamFault::kBroken);
   }
+  this->input.append(bytes.data(), static_cast<std::size_t>(count));
   this->readBudget -= static_cast<std::uint64_t>(count);
   this->bytesReceived += static_cast<std::uint64_t>(count);
   return true;
 }
 
-StreamFault
-SocketStream::ReadHead(std::size_t aMax, std::string& aHead)
+void
+SocketStream::DropReadInput()
 {
   this->input.erase(0, this->inputStart);
   this->inputStart = 0;
+  while (this->input.starts_with(kLineEnd)) {
+    this->input.erase(0, kLineEnd.size());
+  }
+}
+
+bool
+SocketStream::TryReceiveHead(std::size_t aMax)
+{
+  const StreamTimes old = std::exchange(this->times, { std::chrono::milliseconds::zero() });
+  const bool received = this->Receive();
+  this->times = old;
+  if (!received && this->fault == StreamFault::kTimeout) {
+    this->fault = StreamFault::kNone; // Nothing had arrived, which is no fault here.
+    return false;
+  }
+  this->DropReadInput();
+  return !received || this->input.size() >= aMax || this->input.find(kHeadEnd) != std::string::npos;
+}
+
+StreamFault
+SocketStream::ReadHead(std::size_t aMax, std::string& aHead)
+{
+  this->DropReadInput();
   std::size_t searched = 0;
   for (;;) {
-    while (this->input.starts_with(kLineEnd)) {
-      this->input.erase(0, kLineEnd.size());
-      searched = 0;
-    }
     const std::size_t end = this->input.find(kHeadEnd, searched);
     if (end != std::string::npos && end + kHeadEnd.size() <= aMax) {
       aHead = this->input.substr(0, end + kHeadEnd.size());
@@ -121,6 +141,7 @@
     if (!this->Receive()) {
       return this->fault;
     }
+    this->DropReadInput();
   }
 }
 
@@ -160,27 +181,32 @@
   if (this->replacesNextWrite) {
     this->replacesNextWrite = false;
     this->output += this->replacement;
-  } else {
-    this->output.append(aBytes, aSize);
+    return static_cast<ssize_t>(aSize);
   }
-  if (this->output.size() >= kFlushSize && !this->Flush()) {
-    return -1;
+  if (this->output.size() + aSize < kFlushSize) {
+    this->output.append(aBytes, aSize);
+    return static_cast<ssize_t>(aSize);
   }
-  return static_cast<ssize_t>(aSize);
+  return this->Flush() && this->Send(aBytes, aSize) ? static_cast<ssize_t>(aSize) : -1;
 }
 
 bool
 SocketStream::Flush()
+{
+  const std::string bytes = std::exchange(this->output, {});
+  return this->Send(bytes.data(), bytes.size());
+}
+
+bool
+SocketStream::Send(const char* aBytes, std::size_t aSize)
 {
   std::size_t sent = 0;
-  while (sent < this->output.size() && this->fault == StreamFault::kNone) {
+  while (sent < aSize && this->fault == StreamFault::kNone) {
     if (std::chrono::steady_clock::now() >= this->times.deadline) {
       return this->Fail(StreamFault::kTimeout);
     }
-    const ssize_t count = ::send(this->descriptor,
-                                 this->output.data() + sent,
-                                 this->output.size() - sent,
-                                 MSG_DONTWAIT | MSG_NOSIGNAL);
+    const ssize_t count =
+      ::send(this->descriptor, aBytes + sent, aSize - sent, MSG_DONTWAIT | MSG_NOSIGNAL);
     if (count >= 0) {
       sent += static_cast<std::size_t>(count);
       this->bytesSent += static_cast<std::uint64_t>(count);
@@ -190,7 +216,6 @@
       this->Fail(StreamFault::kBroken);
     }
   }
-  this->output.clear();
   return this->fault == StreamFault::kNone;
 }
 
--- a/src/http/socket_stream.h
+++ b/src/http/socket_stream.h
@@ -43,6 +43,9 @@
   void SetReadBudget(std::uint64_t aBytes) { this->readBudget = aBytes; }
   // Reads up to and with the first blank line. Blank lines before it are dropped.
   StreamFault ReadHead(std::size_t aMax, std::string& aHead);
+  // Takes what has arrived, without waiting. True when a whole head or `aMax` bytes
+  // are there, or when nothing more can come; ReadHead() then returns at once.
+  bool TryReceiveHead(std::size_t aMax);
   // Bytes that read() returns before those of the socket.
   void Inject(std::string aBytes);
   // The next write() is dropped, and these bytes go out in its place.
@@ -70,6 +73,8 @@
   bool WaitFor(short aEvents);
   // Appends to `input`. False when nothing came.
   bool Receive();
+  bool Send(const char* aBytes, std::size_t aSize);
+  void DropReadInput();
   bool Fail(StreamFault aFault);
 
   int descriptor;
--- a/src/http/workers.h
+++ b/src/http/workers.h
@@ -12,7 +12,7 @@
 
 namespace plantainhaven {
 
-// Threads that serve connections with an arriving request, and the bounded queue
+// Threads that serve connections on which a request came, and the bounded queue
 // before them.
 class Workers
 {
@@ -20,7 +20,7 @@
   using Serve = std::function<void(std::unique_ptr<ServerConnection>)>;
 
   Workers(std::size_t aThreads, std::size_t aQueue, Serve aServe);
-  // Cuts what is still served and joins the threads.
+  // Drops what is queued and joins the threads.
   ~Workers();
   Workers(const Workers&) = delete;
   Workers& operator=(const Workers&) = delete;
