Lend and borrow budgets between VMs under a bound over the fleet

Accounts, region slots, server connections and links are split by one pure function of the accepted configuration; what one VM doesn't need moves by grants that lapse on the borrower before the lender takes them back. A share grows only T plus the longest grant after its revision is known to be accepted, since a VM that was fresh until then may just have lent from the old split; concurrency also waits for the longest use.

The checks have not been shown red yet, and the service has only been compiled.

--- a/include/plantainhaven/entry/budget_service.h
+++ b/include/plantainhaven/entry/budget_service.h
@@ -4,10 +4,13 @@
 #include "plantainhaven/common/time.h"
 #include "plantainhaven/fleet/peer_link.h"
 #include "plantainhaven/policy/budget/ledger.h"
+#include "plantainhaven/policy/budget/specs.h"
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace plantainhaven {
@@ -26,8 +29,12 @@
 {
 public:
   // `aLink` is bound already; the service owns it. `aMetrics` must outlive the service.
-  // `aOptions.incarnation` 0 is replaced by a random number.
-  BudgetService(LedgerOptions aOptions, std::unique_ptr<PeerLink> aLink, Metrics& aMetrics);
+  // `aOptions.incarnation` 0 is replaced by a random number. `aClock` is read wherever
+  // time may have passed since a caller read it.
+  BudgetService(LedgerOptions aOptions,
+                std::unique_ptr<PeerLink> aLink,
+                Metrics& aMetrics,
+                std::function<BootTime()> aClock = BootClock::Now);
   // Stops the budget thread.
   ~BudgetService();
   BudgetService(const BudgetService&) = delete;
@@ -64,31 +71,11 @@
 
   // One round of the budget thread: handles messages that come within `aLongestWait`
   // and ticks the ledgers. For tests that don't call Start().
-  void RunOnce(BootTime aNow, std::chrono::milliseconds aLongestWait);
+  void RunOnce(std::chrono::milliseconds aLongestWait);
 
 private:
   struct Impl;
   std::unique_ptr<Impl> impl;
 };
 
-// The budgets that a client account, service, backend server and link stand for. Rates
-// are per second; amounts are in tokens.
-BudgetSpec
-AccountBudget(const std::string& aAccount, double aRate, double aBurst);
-BudgetSpec
-RegionSlotsBudget(const std::string& aService,
-                  const std::string& aRegion,
-                  std::int64_t aSlots,
-                  std::chrono::nanoseconds aLongestUse);
-BudgetSpec
-ServerConnectionsBudget(const std::string& aServer,
-                        std::int64_t aConnections,
-                        std::chrono::nanoseconds aLongestUse);
-// Tokens are bytes; the burst is what the link carries in `aBurstTime`.
-BudgetSpec
-LinkBudget(const std::string& aFromRegion,
-           const std::string& aToRegion,
-           double aMegabitsPerSecond,
-           std::chrono::nanoseconds aBurstTime = std::chrono::milliseconds(100));
-
 } // namespace plantainhaven
--- a/include/plantainhaven/policy/budget/ledger.h
+++ b/include/plantainhaven/policy/budget/ledger.h
@@ -36,6 +36,14 @@
   bool Taken() const noexcept { return this->refusal == TakeRefusal::kNone; }
 };
 
+// Whether a request asks for the first time or again while it waits; only the first
+// attempt counts as demand.
+enum class Attempt
+{
+  kFirst,
+  kRepeated,
+};
+
 // What a VM knows about its own view, as the rule of the fresh view gives it.
 struct BudgetView
 {
@@ -84,7 +92,7 @@
   std::uint64_t grantsGiven = 0;
   std::uint64_t grantsRefused = 0;
   std::uint64_t reports = 0;
-  // Grants that ended on the borrower's side with something unspent.
+  // Grants held here that lapsed with something unspent.
   std::uint64_t lapses = 0;
 };
 
@@ -108,24 +116,40 @@
   // a gap the ledger gives out nothing of its own until the new one may count.
   void OnConfiguration(std::uint64_t aRevision,
                        const BudgetSpec& aSpec,
-                       const std::vector<BudgetMember>& aMembers,
+                       const BudgetMembers& aMembers,
                        BootTime aNow);
+  // No revision from `aFrom` to `aThrough`, the one applied now, lists the budget. Told
+  // before a new budget's first configuration it lets the share count at once, because
+  // nobody can be using an older split.
+  void OnAbsent(std::uint64_t aFrom, std::uint64_t aThrough, BootTime aNow);
   // Acceptance or freshness moved on.
   void OnView(const BudgetView& aView, BootTime aNow);
 
   // Takes `aAmount` or refuses; never waits. Lower amounts than one token are allowed.
-  TakeResult TryTake(TokenThousandths aAmount, BootTime aNow);
+  TakeResult TryTake(TokenThousandths aAmount, BootTime aNow, Attempt aAttempt = Attempt::kFirst);
+  // True when `aAmount` may come within `aLongestWait` of a refusal: refilled, released
+  // or borrowed from a VM that isn't known to be empty.
+  bool MayArrive(TokenThousandths aAmount,
+                 BootTime aNow,
+                 std::chrono::nanoseconds aLongestWait) const;
+  // Until this VM's own tokens alone would reach `aAmount`; the largest value if never.
+  std::chrono::nanoseconds OwnRefillTime(TokenThousandths aAmount, BootTime aNow) const;
   // Gives back what was taken from a concurrency budget; ignored for rates.
   void Release(TokenThousandths aAmount, BootTime aNow);
 
   // A message about this budget arrived; messages of other kinds are ignored.
   std::vector<BudgetMessage> OnMessage(const Envelope& aMessage, BootTime aNow);
+  // Gives everything unused back to its lenders: this process stops.
+  std::vector<BudgetMessage> GiveBack(BootTime aNow);
   // Borrows ahead of need, reports what was spent and gives back what isn't needed.
   // Call it when NextTick() has come.
   std::vector<BudgetMessage> OnTick(BootTime aNow);
   // When OnTick has something to do, as of now.
   BootTime NextTick() const;
 
+  // True when no configuration lists the budget and nothing of it is in use or can still
+  // be lent: the ledger may be dropped.
+  bool Forgotten(BootTime aNow) const;
   // What could be taken now: own level plus valid grants.
   TokenThousandths Available(BootTime aNow) const;
   // What is in use of a concurrency budget.
--- a/include/plantainhaven/policy/budget/shares.h
+++ b/include/plantainhaven/policy/budget/shares.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -68,6 +69,9 @@
   bool operator==(const BudgetMember&) const = default;
 };
 
+// One list of members is shared by all ledgers of a process.
+using BudgetMembers = std::shared_ptr<const std::vector<BudgetMember>>;
+
 // The part of a budget that one VM may give out by itself.
 struct Share
 {
--- /dev/null
+++ b/src/policy/budget/ledger.cc
@@ -0,0 +1,136 @@
+#include "plantainhaven/policy/budget/ledger.h"
+
+#include "policy/budget/ledger_impl.h"
+
+#include <utility>
+
+namespace plantainhaven {
+
+const char*
+ToString(TakeRefusal aRefusal) noexcept
+{
+  switch (aRefusal) {
+    case TakeRefusal::kNone:
+      return "none";
+    case TakeRefusal::kEmpty:
+      return "budget_empty";
+    case TakeRefusal::kStaleView:
+      return "stale_view";
+    case TakeRefusal::kUnknownBudget:
+      return "unknown_budget";
+  }
+  return "none";
+}
+
+Ledger::Ledger(LedgerId aId, LedgerOptions aOptions, BootTime aStartedAt)
+  : impl(std::make_unique<Impl>(std::move(aId), std::move(aOptions), aStartedAt))
+{
+}
+
+Ledger::~Ledger() = default;
+Ledger::Ledger(Ledger&&) noexcept = default;
+Ledger&
+Ledger::operator=(Ledger&&) noexcept = default;
+
+void
+Ledger::OnConfiguration(std::uint64_t aRevision,
+                        const BudgetSpec& aSpec,
+                        const BudgetMembers& aMembers,
+                        BootTime aNow)
+{
+  this->impl->OnConfiguration(aRevision, aSpec, aMembers, aNow);
+}
+
+void
+Ledger::OnAbsent(std::uint64_t aFrom, std::uint64_t aThrough, BootTime aNow)
+{
+  this->impl->OnAbsent(aFrom, aThrough, aNow);
+}
+
+void
+Ledger::OnView(const BudgetView& aView, BootTime aNow)
+{
+  this->impl->OnView(aView, aNow);
+}
+
+TakeResult
+Ledger::TryTake(TokenThousandths aAmount, BootTime aNow, Attempt aAttempt)
+{
+  return this->impl->TryTake(aAmount, aNow, aAttempt);
+}
+
+bool
+Ledger::MayArrive(TokenThousandths aAmount,
+                  BootTime aNow,
+                  std::chrono::nanoseconds aLongestWait) const
+{
+  return this->impl->MayArrive(aAmount, aNow, aLongestWait);
+}
+
+std::chrono::nanoseconds
+Ledger::OwnRefillTime(TokenThousandths aAmount, BootTime aNow) const
+{
+  return this->impl->OwnRefillTime(aAmount, aNow);
+}
+
+void
+Ledger::Release(TokenThousandths aAmount, BootTime aNow)
+{
+  this->impl->Release(aAmount, aNow);
+}
+
+std::vector<BudgetMessage>
+Ledger::OnMessage(const Envelope& aMessage, BootTime aNow)
+{
+  return this->impl->OnMessage(aMessage, aNow);
+}
+
+std::vector<BudgetMessage>
+Ledger::GiveBack(BootTime aNow)
+{
+  return this->impl->GiveBack(aNow);
+}
+
+std::vector<BudgetMessage>
+Ledger::OnTick(BootTime aNow)
+{
+  return this->impl->OnTick(aNow);
+}
+
+BootTime
+Ledger::NextTick() const
+{
+  return this->impl->nextTick;
+}
+
+bool
+Ledger::Forgotten(BootTime aNow) const
+{
+  return this->impl->Forgotten(aNow);
+}
+
+TokenThousandths
+Ledger::Available(BootTime aNow) const
+{
+  return this->impl->Available(aNow);
+}
+
+TokenThousandths
+Ledger::InUse() const
+{
+  return this->impl->pool->InUse();
+}
+
+Share
+Ledger::CurrentShare(BootTime aNow) const
+{
+  return this->impl->history.Current(aNow);
+}
+
+const LedgerCounts&
+Ledger::Counts() const
+{
+  return this->impl->counts;
+}
+
+} // namespace plantainhaven
--- /dev/null
+++ b/src/policy/budget/ledger_impl.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "plantainhaven/policy/budget/ledger.h"
+
+#include "policy/budget/borrowed.h"
+#include "policy/budget/demand.h"
+#include "policy/budget/lenders.h"
+#include "policy/budget/lent.h"
+#include "policy/budget/pool.h"
+#include "policy/budget/share_history.h"
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace plantainhaven {
+
+// The state of a ledger. ledger_take.cc gives out what is there, ledger_lend.cc answers
+// other VMs, ledger_borrow.cc asks them.
+struct Ledger::Impl
+{
+  Impl(LedgerId aId, LedgerOptions aOptions, BootTime aStartedAt);
+
+  // --- ledger_take.cc --------------------------------------------------------
+  void OnConfiguration(std::uint64_t aRevision,
+                       const BudgetSpec& aSpec,
+                       const BudgetMembers& aMembers,
+                       BootTime aNow);
+  void OnAbsent(std::uint64_t aFrom, std::uint64_t aThrough, BootTime aNow);
+  void OnView(const BudgetView& aView, BootTime aNow);
+  TakeResult TryTake(TokenThousandths aAmount, BootTime aNow, Attempt aAttempt);
+  void TakeNow(TokenThousandths aAmount);
+  void Release(TokenThousandths aAmount, BootTime aNow);
+  TokenThousandths Available(BootTime aNow);
+  bool MayArrive(TokenThousandths aAmount, BootTime aNow, std::chrono::nanoseconds aLongestWait);
+  std::chrono::nanoseconds OwnRefillTime(TokenThousandths aAmount, BootTime aNow);
+  std::chrono::nanoseconds RetryAfter(TokenThousandths aAmount, BootTime aNow);
+  bool Forgotten(BootTime aNow);
+  // Brings everything that time changes up to `aNow`; returns the latest time seen,
+  // which never steps back.
+  BootTime Refresh(BootTime aNow);
+  void SetLimits(BootTime aNow);
+  // How long after its sending a grant may still be in use somewhere.
+  std::chrono::nanoseconds LongestGrant() const;
+
+  // --- ledger_lend.cc --------------------------------------------------------
+  std::vector<BudgetMessage> OnMessage(const Envelope& aMessage, BootTime aNow);
+  BudgetMessage AnswerAsk(const Envelope& aAsk, BootTime aNow);
+  void Lend(const Envelope& aAsk, BorrowAnswer& aAnswer, BootTime aNow);
+  void Renew(const Envelope& aAsk, BorrowAnswer& aAnswer, BootTime aNow);
+  TokenThousandths Spare(BootTime aNow);
+  void OnReport(const Envelope& aReport, BootTime aNow);
+
+  // --- ledger_borrow.cc ------------------------------------------------------
+  std::vector<BudgetMessage> OnTick(BootTime aNow);
+  std::vector<BudgetMessage> GiveBack(BootTime aNow);
+  void OnAnswer(const Envelope& aAnswer, BootTime aNow);
+  // What this VM wants to have at hand now.
+  TokenThousandths Target(BootTime aNow) const;
+  void AskForMore(std::vector<BudgetMessage>& aOut, BootTime aNow);
+  void KeepOrReturn(std::vector<BudgetMessage>& aOut, BootTime aNow);
+  void Report(std::vector<BudgetMessage>& aOut, BootTime aNow);
+  void PlanNextTick(BootTime aNow);
+  BudgetMessage Ask(PendingAsk aAsk, TokenThousandths aLeast);
+  Envelope NewEnvelope(const std::string& aTo) const;
+  void SetBudget(BudgetId* aBudget) const;
+
+  LedgerId id;
+  LedgerOptions options;
+  bool concurrency;
+  // Until then grants of an earlier process may be in use.
+  BootTime lentBefore;
+  BudgetSpec spec;
+  BudgetMembers members;
+  std::uint64_t revision = 0;
+  BootTime freshUntil{};
+
+  ShareHistory history;
+  Share share;
+  std::unique_ptr<Pool> pool;
+  LentGrants lent;
+  BorrowedGrants borrowed;
+  Demand demand;
+  Lenders lenders;
+  LedgerCounts counts;
+
+  std::uint64_t nextId;
+  BootTime latest{};
+  // When the share or its lock changes next.
+  BootTime limitsChangeAt{};
+  BootTime nextTick{};
+  BootTime nextAskAt{};
+  BootTime nextReportAt{};
+  // Lets the next tick ask at once for what is missing here.
+  bool shortOfTokens = false;
+};
+
+} // namespace plantainhaven
--- /dev/null
+++ b/src/policy/budget/share_history.cc
@@ -0,0 +1,119 @@
+#include "policy/budget/share_history.h"
+
+#include <algorithm>
+
+namespace plantainhaven {
+
+ShareHistory::ShareHistory(std::chrono::nanoseconds aGrowthWait)
+  : growthWait(aGrowthWait)
+{
+}
+
+void
+ShareHistory::OnShare(std::uint64_t aRevision, const std::optional<Share>& aShare)
+{
+  if (aRevision <= this->lastRevision) {
+    return;
+  }
+  if (aRevision != this->lastRevision + 1) {
+    this->splits.clear();
+  }
+  this->lastRevision = aRevision;
+  if (!this->splits.empty() && this->splits.back().share == aShare) {
+    return;
+  }
+  this->splits.push_back(Split{ aRevision, aShare, std::nullopt });
+  this->DateAcceptance();
+}
+
+void
+ShareHistory::OnAbsent(std::uint64_t aFrom, std::uint64_t aThrough)
+{
+  if (aThrough <= this->lastRevision) {
+    return;
+  }
+  this->OnShare(aFrom, std::nullopt);
+  this->lastRevision = aThrough;
+}
+
+void
+ShareHistory::OnAccepted(std::uint64_t aAccepted, BootTime aAt)
+{
+  if (aAccepted <= this->acceptedRevision) {
+    return;
+  }
+  this->acceptedRevision = aAccepted;
+  this->acceptedAt = aAt;
+  this->DateAcceptance();
+}
+
+void
+ShareHistory::ProlongGrowthWait(std::chrono::nanoseconds aGrowthWait)
+{
+  this->growthWait = std::max(this->growthWait, aGrowthWait);
+}
+
+void
+ShareHistory::DateAcceptance()
+{
+  for (Split& split : this->splits) {
+    if (!split.acceptedAt && split.revision <= this->acceptedRevision) {
+      split.acceptedAt = this->acceptedAt;
+    }
+  }
+}
+
+bool
+ShareHistory::Ripe(const Split& aSplit, BootTime aNow) const
+{
+  return aSplit.acceptedAt && *aSplit.acceptedAt + this->growthWait <= aNow;
+}
+
+void
+ShareHistory::DropSuperseded(BootTime aNow)
+{
+  while (this->splits.size() > 1 && this->Ripe(this->splits[1], aNow)) {
+    this->splits.pop_front();
+  }
+}
+
+Share
+ShareHistory::Current(BootTime aNow)
+{
+  this->DropSuperseded(aNow);
+  if (this->splits.empty() || !this->Ripe(this->splits.front(), aNow)) {
+    return Share{};
+  }
+  // Before its first listing nobody can hold any of the budget.
+  const bool isNew = !this->splits.front().share && this->splits.size() > 1;
+  const std::size_t first = isNew ? 1 : 0;
+  Share current = this->splits[first].share.value_or(Share{});
+  for (std::size_t i = first; i < this->splits.size(); ++i) {
+    const Share share = this->splits[i].share.value_or(Share{});
+    current.ratePerSecond = std::min(current.ratePerSecond, share.ratePerSecond);
+    current.capacity = std::min(current.capacity, share.capacity);
+  }
+  return current;
+}
+
+BootTime
+ShareHistory::NextChange(BootTime aNow) const
+{
+  BootTime next = BootTime::max();
+  for (const Split& split : this->splits) {
+    if (split.acceptedAt && !this->Ripe(split, aNow)) {
+      next = std::min(next, *split.acceptedAt + this->growthWait);
+    }
+  }
+  return next;
+}
+
+bool
+ShareHistory::Forgotten(BootTime aNow)
+{
+  this->DropSuperseded(aNow);
+  return this->splits.size() == 1 && !this->splits.front().share &&
+         this->Ripe(this->splits.front(), aNow);
+}
+
+} // namespace plantainhaven
