--- a/src/policy/config/faults.cc
+++ b/src/policy/config/faults.cc
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace plantainhaven {
 
@@ -27,9 +28,13 @@
 std::string
 ToText(double aNumber)
 {
-  std::array<char, 64> buffer{};
+  // Larger numbers are written with an exponent.
+  constexpr double kLargestPlain = 1e15;
+  const bool plain = std::abs(aNumber) < kLargestPlain;
+  const auto format = plain ? std::chars_format::fixed : std::chars_format::general;
+  std::array<char, 512> buffer{};
   const std::to_chars_result end =
-    std::to_chars(buffer.data(), buffer.data() + buffer.size(), aNumber);
+    std::to_chars(buffer.data(), buffer.data() + buffer.size(), aNumber, format);
   return { buffer.data(), end.ptr };
 }
 
--- a/src/policy/config/field_rules.cc
+++ b/src/policy/config/field_rules.cc
@@ -1,5 +1,6 @@
 #include "policy/config/field_rules.h"
 
+#include "common/setting_value.h"
 #include "policy/config/faults.h"
 
 #include <functional>
@@ -48,13 +49,6 @@
            : aValue.Reflect().GetMessage(aValue.message, &aValue.field);
 }
 
-bool
-IsDuration(const FieldDescriptor& aField)
-{
-  return aField.cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE &&
-         aField.message_type() == google::protobuf::Duration::descriptor();
-}
-
 double
 SecondsOf(const Message& aMessage)
 {
@@ -132,16 +126,16 @@
           const std::string& aPath,
           const std::function<void(const FieldValue&)>& aVisit)
 {
-  const Rule& rule = aField.options().GetExtension(plantainhaven::rule);
+  const Rule& fieldRule = RuleOf(aField);
   const int size =
     aField.is_repeated() ? aMessage.GetReflection()->FieldSize(aMessage, &aField) : 1;
   if (size == 0) {
-    aVisit({ aMessage, aField, rule, aPath });
+    aVisit({ aMessage, aField, fieldRule, aPath });
   }
   for (int index = 0; index < size; ++index) {
     const std::string path =
       aField.is_repeated() ? aPath + '[' + std::to_string(index) + ']' : aPath;
-    const FieldValue value{ aMessage, aField, rule, path, index };
+    const FieldValue value{ aMessage, aField, fieldRule, path, index };
     aVisit(value);
     if (aField.cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE && !IsDuration(aField)) {
       Walk(ReadMessage(value), path, aVisit);
