Serve callers: the request path and plantain-entryd

The request path of an entry VM in its first complete form: decisions as pure code in policy/request (routes and keys, header hygiene, server choice, shift positions, retry rule, refusal reasons), and in entry the control thread that follows plantain-controld, the request handler, the connection pool, the load poller and the claims for requests with an Idempotency-Key.

--- /dev/null
+++ b/include/plantainhaven/entry/budget_gate.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "plantainhaven/entry/budget_service.h"
+
+#include <chrono>
+#include <utility>
+
+namespace plantainhaven {
+
+// What the request path needs of the budgets. Tests put a fake in its place.
+class BudgetGate
+{
+public:
+  virtual ~BudgetGate() = default;
+
+  // Takes `aAmount`, waiting at most `aLongestWait`.
+  virtual TakeResult Take(const LedgerId& aId,
+                          TokenThousandths aAmount,
+                          std::chrono::nanoseconds aLongestWait) = 0;
+  // Gives back what was taken from a concurrency budget.
+  virtual void Release(const LedgerId& aId, TokenThousandths aAmount) = 0;
+};
+
+// BudgetGate over the fleet's ledgers.
+class ServiceBudgetGate : public BudgetGate
+{
+public:
+  // `aService` must outlive the gate.
+  explicit ServiceBudgetGate(BudgetService& aService)
+    : service(aService)
+  {
+  }
+
+  TakeResult Take(const LedgerId& aId,
+                  TokenThousandths aAmount,
+                  std::chrono::nanoseconds aLongestWait) override
+  {
+    return this->service.Take(aId, aAmount, BootClock::Now(), aLongestWait);
+  }
+  void Release(const LedgerId& aId, TokenThousandths aAmount) override
+  {
+    this->service.Release(aId, aAmount, BootClock::Now());
+  }
+
+private:
+  BudgetService& service;
+};
+
+// One token of a concurrency budget, given back at the end of its life.
+class HeldToken
+{
+public:
+  HeldToken() = default;
+  HeldToken(BudgetGate& aGate, LedgerId aId)
+    : gate(&aGate)
+    , id(std::move(aId))
+  {
+  }
+  HeldToken(HeldToken&& aOther) noexcept
+    : gate(std::exchange(aOther.gate, nullptr))
+    , id(std::move(aOther.id))
+  {
+  }
+  HeldToken& operator=(HeldToken&& aOther) noexcept
+  {
+    this->Release();
+    this->gate = std::exchange(aOther.gate, nullptr);
+    this->id = std::move(aOther.id);
+    return *this;
+  }
+  ~HeldToken() { this->Release(); }
+
+  void Release()
+  {
+    if (BudgetGate* held = std::exchange(this->gate, nullptr)) {
+      held->Release(this->id, kOneToken);
+    }
+  }
+
+private:
+  BudgetGate* gate = nullptr;
+  LedgerId id;
+};
+
+} // namespace plantainhaven
--- /dev/null
+++ b/src/policy/request/key_scan.cc
@@ -0,0 +1,195 @@
+#include "plantainhaven/policy/request/header_hygiene.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace plantainhaven {
+
+namespace {
+
+// Length of the keys that operators issue: 256 bits in hexadecimal.
+constexpr std::size_t kIssuedKeyLength = 64;
+// How often text is decoded in the search for a key.
+constexpr int kDecodings = 2;
+
+int
+HexDigit(char aLetter)
+{
+  if (aLetter >= '0' && aLetter <= '9') {
+    return aLetter - '0';
+  }
+  const char lower = static_cast<char>(aLetter | 0x20);
+  return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
+}
+
+struct Decoded
+{
+  std::string text;
+  bool valid = true;
+};
+
+// Resolves %XX; bad escapes stay as they are.
+Decoded
+PercentDecoded(std::string_view aText)
+{
+  Decoded decoded;
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    if (aText[i] != '%') {
+      decoded.text += aText[i];
+      continue;
+    }
+    const int high = i + 2 < aText.size() ? HexDigit(aText[i + 1]) : -1;
+    const int low = i + 2 < aText.size() ? HexDigit(aText[i + 2]) : -1;
+    if (high < 0 || low < 0) {
+      decoded.valid = false;
+      decoded.text += '%';
+      continue;
+    }
+    decoded.text += static_cast<char>(high * 16 + low);
+    i += 2;
+  }
+  return decoded;
+}
+
+// Calls the test for each run of just 64 hexadecimal digits.
+bool
+HasIssuedKey(std::string_view aText, const KeyTest& aIsKey)
+{
+  std::size_t begin = 0;
+  for (std::size_t i = 0; i <= aText.size(); ++i) {
+    if (i < aText.size() && HexDigit(aText[i]) >= 0) {
+      continue;
+    }
+    if (i - begin == kIssuedKeyLength && aIsKey(aText.substr(begin, i - begin))) {
+      return true;
+    }
+    begin = i + 1;
+  }
+  return false;
+}
+
+bool
+HoldsKey(std::string_view aText, std::string_view aOwnKey, const KeyTest& aIsKey)
+{
+  if (!aOwnKey.empty() && aText.find(aOwnKey) != aText.npos) {
+    return true;
+  }
+  return aText.size() >= kIssuedKeyLength && HasIssuedKey(aText, aIsKey);
+}
+
+bool
+HoldsEncodedKey(std::string_view aText, std::string_view aOwnKey, const KeyTest& aIsKey)
+{
+  if (HoldsKey(aText, aOwnKey, aIsKey)) {
+    return true;
+  }
+  std::string text(aText);
+  for (int i = 0; i < kDecodings && text.find('%') != text.npos; ++i) {
+    text = PercentDecoded(text).text;
+    if (HoldsKey(text, aOwnKey, aIsKey)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool
+IsAuthorization(std::string_view aName)
+{
+  constexpr std::string_view kName = "authorization";
+  if (aName.size() != kName.size()) {
+    return false;
+  }
+  for (std::size_t i = 0; i < kName.size(); ++i) {
+    if (std::tolower(static_cast<unsigned char>(aName[i])) != kName[i]) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool
+HasDotSegment(std::string_view aPath)
+{
+  std::size_t begin = 0;
+  while (begin <= aPath.size()) {
+    const std::size_t end = std::min(aPath.find('/', begin), aPath.size());
+    // Parameters after ';' don't count for servers that strip them.
+    const std::string_view segment = aPath.substr(begin, end - begin);
+    const std::string_view bare = segment.substr(0, segment.find(';'));
+    if (bare == "." || bare == "..") {
+      return true;
+    }
+    begin = end + 1;
+  }
+  return false;
+}
+
+bool
+HasControl(std::string_view aText)
+{
+  for (const unsigned char letter : aText) {
+    if (letter < 0x20 || letter == 0x7f) {
+      return true;
+    }
+  }
+  return false;
+}
+
+Error
+BadPath(std::string aMessage)
+{
+  return { ErrorKind::kInvalid,
+           std::move(aMessage),
+           "Send a plain path that begins with / and has no dot segments." };
+}
+
+} // namespace
+
+Result<std::string>
+ReadPath(std::string_view aTarget)
+{
+  const std::string_view raw = aTarget.substr(0, aTarget.find_first_of("?#"));
+  if (!raw.starts_with('/')) {
+    return BadPath("The path doesn't begin with /.");
+  }
+  if (HasControl(aTarget) || aTarget.find(' ') != aTarget.npos) {
+    return BadPath("The request target holds a blank or a control character.");
+  }
+  Decoded decoded = PercentDecoded(raw);
+  if (!decoded.valid || HasControl(decoded.text)) {
+    return BadPath("The path holds a bad escape.");
+  }
+  const auto slashes = [](std::string_view aText) {
+    return std::count(aText.begin(), aText.end(), '/');
+  };
+  if (slashes(decoded.text) != slashes(raw) || decoded.text.find('\\') != std::string::npos) {
+    return BadPath("The path holds an encoded slash or a backslash.");
+  }
+  if (HasDotSegment(decoded.text) || decoded.text.find("//") != std::string::npos ||
+      decoded.text.find('%') != std::string::npos) {
+    return BadPath("The path holds a dot segment, an empty segment or a doubled escape.");
+  }
+  return std::move(decoded.text);
+}
+
+bool
+HasKeyOutsideAuthorization(const HttpRequest& aRequest,
+                           std::string_view aOwnKey,
+                           const KeyTest& aIsKey)
+{
+  if (HoldsEncodedKey(aRequest.target, aOwnKey, aIsKey)) {
+    return true;
+  }
+  for (const HttpHeader& header : aRequest.headers.All()) {
+    if (IsAuthorization(header.name)) {
+      continue;
+    }
+    if (HoldsKey(header.name, aOwnKey, aIsKey) || HoldsEncodedKey(header.value, aOwnKey, aIsKey)) {
+      return true;
+    }
+  }
+  return HoldsEncodedKey(aRequest.body, aOwnKey, aIsKey);
+}
+
+} // namespace plantainhaven
--- /dev/null
+++ b/src/policy/request/traffic_shift.cc
@@ -0,0 +1,150 @@
+#include "plantainhaven/policy/request/traffic_shift.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace plantainhaven {
+
+namespace {
+
+constexpr double kWhole = 100;
+// Longest step that one call makes, as a part of the interval.
+constexpr double kLongestStep = 0.1;
+
+double
+PercentOf(const std::vector<RegionWeight>& aWeights, const std::string& aRegion)
+{
+  for (const RegionWeight& weight : aWeights) {
+    if (weight.region == aRegion) {
+      return weight.percent;
+    }
+  }
+  return 0;
+}
+
+double
+SumOf(const std::vector<RegionWeight>& aWeights)
+{
+  double sum = 0;
+  for (const RegionWeight& weight : aWeights) {
+    sum += weight.percent;
+  }
+  return sum;
+}
+
+void
+Scale(std::vector<RegionWeight>& aWeights)
+{
+  const double sum = SumOf(aWeights);
+  for (RegionWeight& weight : aWeights) {
+    weight.percent *= sum > 0 ? kWhole / sum : 0;
+  }
+}
+
+std::vector<RegionWeight>
+Without(const std::vector<RegionWeight>& aTarget, const std::vector<std::string>& aLost)
+{
+  std::vector<RegionWeight> left;
+  for (const RegionWeight& weight : aTarget) {
+    if (std::find(aLost.begin(), aLost.end(), weight.region) == aLost.end()) {
+      left.push_back(weight);
+    }
+  }
+  Scale(left);
+  return left;
+}
+
+void
+AddMissing(std::vector<RegionWeight>& aWeights, const std::vector<RegionWeight>& aOther)
+{
+  for (const RegionWeight& other : aOther) {
+    const bool known =
+      std::any_of(aWeights.begin(), aWeights.end(), [&](const RegionWeight& aWeight) {
+        return aWeight.region == other.region;
+      });
+    if (!known) {
+      aWeights.push_back({ other.region, 0 });
+    }
+  }
+}
+
+} // namespace
+
+double
+PointsBetween(const std::vector<RegionWeight>& aLeft, const std::vector<RegionWeight>& aRight)
+{
+  double sum = 0;
+  for (const RegionWeight& weight : aLeft) {
+    sum += std::abs(weight.percent - PercentOf(aRight, weight.region));
+  }
+  for (const RegionWeight& weight : aRight) {
+    const bool counted = std::any_of(aLeft.begin(), aLeft.end(), [&](const RegionWeight& aOther) {
+      return aOther.region == weight.region;
+    });
+    sum += counted ? 0 : weight.percent;
+  }
+  return sum / 2;
+}
+
+TrafficShift::TrafficShift(std::vector<RegionWeight> aStart, BootTime aNow)
+  : weights(std::move(aStart))
+  , movedAt(aNow)
+{
+  Scale(this->weights);
+}
+
+void
+TrafficShift::Advance(const SplitPolicy& aPolicy,
+                      const std::vector<std::string>& aLostRegions,
+                      BootTime aNow)
+{
+  if (aNow <= this->movedAt) {
+    return;
+  }
+  const double interval = std::chrono::duration<double>(aPolicy.interval).count();
+  const double since = std::chrono::duration<double>(aNow - this->movedAt).count();
+  this->movedAt = aNow;
+  const std::vector<RegionWeight> target = Without(aPolicy.target, aLostRegions);
+  if (SumOf(target) <= 0) {
+    return;
+  }
+  AddMissing(this->weights, target);
+  const double distance = PointsBetween(this->weights, target);
+  if (distance <= 0) {
+    return;
+  }
+  // The speed leaves room for the longest step at the edge of a window.
+  const double speed = aPolicy.capPoints / (interval * (1 + kLongestStep));
+  const double points = speed * std::min(since, interval * kLongestStep);
+  const double part = std::min(1.0, points / distance);
+  for (RegionWeight& weight : this->weights) {
+    weight.percent += part * (PercentOf(target, weight.region) - weight.percent);
+  }
+}
+
+const std::vector<RegionWeight>&
+TrafficShift::Weights() const
+{
+  return this->weights;
+}
+
+const std::string&
+TrafficShift::RegionAt(double aDraw) const
+{
+  double left = aDraw * kWhole;
+  const RegionWeight* last = &this->weights.front();
+  for (const RegionWeight& weight : this->weights) {
+    if (weight.percent <= 0) {
+      continue;
+    }
+    last = &weight;
+    left -= weight.percent;
+    if (left < 0) {
+      break;
+    }
+  }
+  return last->region;
+}
+
+} // namespace plantainhaven
