--- a/src/policy/config/snapshot.cc
+++ b/src/policy/config/snapshot.cc
@@ -1,9 +1,7 @@
 #include "plantainhaven/policy/config/configuration.h"
 #include "policy/config/configuration_impl.h"
 
-#include <algorithm>
 #include <array>
-#include <set>
 
 namespace plantainhaven {
 
@@ -47,7 +45,7 @@
   return (hash ^ hash >> 32) % kSnapshotBuckets;
 }
 
-// Resources come in order of kind and name, blocks last.
+// Resources come in order of kind and name, then blocks in order of address.
 std::string
 Serialise(const Bucket& aBucket, const BlockTable& aTable)
 {
@@ -55,14 +53,9 @@
   for (const Resource* resource : aBucket.resources) {
     *chunk.add_resources() = *resource;
   }
-  const int firstBlock = chunk.resources_size();
   for (const PackedBlock* block : aBucket.blocks) {
     *chunk.add_resources() = UnpackBlock(aTable, *block);
   }
-  std::sort(
-    chunk.mutable_resources()->begin() + firstBlock,
-    chunk.mutable_resources()->end(),
-    [](const Resource& aLeft, const Resource& aRight) { return aLeft.name() < aRight.name(); });
   return chunk.SerializeAsString();
 }
 
