--- a/include/plantainhaven/platform/memory_platform.h
+++ b/include/plantainhaven/platform/memory_platform.h
@@ -41,7 +41,9 @@
   // Takes one commit off the fault delay_commits and returns how long it must be
   // held; zero when none is to be held. The HTTP stand-in calls this before Commit().
   std::chrono::milliseconds TakeCommitDelay();
-  // Adds or replaces a VM on the list, or removes it.
+  // Age of the VM list that List() answers; zero at first.
+  void SetVmListLag(std::chrono::milliseconds aLag);
+  // Adds or replaces a VM on the list, or removes it. List() shows it after the lag.
   void SetVm(const VmListEntry& aVm);
   void RemoveVm(const std::string& aName);
 
--- a/src/http/request_runner.cc
+++ b/src/http/request_runner.cc
@@ -167,6 +167,7 @@
 {
   Turn& turn = *sTurn;
   turn.head.request.remote_address = turn.connection.RemoteAddress();
+  turn.head.request.remote_port = turn.connection.RemotePort();
   HttpResponse answer = this->Handle(turn.head.request);
   turn.connection.stream.SetTimes({ this->options.write_timeout, SteadyTime::max() });
   turn.close = turn.close || answer.close || this->isDraining;
--- a/src/platform/http_platform.cc
+++ b/src/platform/http_platform.cc
@@ -65,7 +65,7 @@
 FailureOf(const HttpResponse& aResponse, Effect aEffect)
 {
   PlatformError detail;
-  const bool described = IsOk(FromJson(aResponse.body, detail)) && !detail.message().empty();
+  const bool described = IsOk(ReadJson(aResponse.body, detail)) && !detail.message().empty();
   const std::string message =
     described ? detail.message()
               : "expected status 200 of the platform, got " + std::to_string(aResponse.status);
@@ -108,7 +108,7 @@
     return ErrorOf(aResponse);
   }
   Message message;
-  if (Result<Done> parsed = FromJson(ValueOf(aResponse).body, message); !IsOk(parsed)) {
+  if (Result<Done> parsed = ReadJson(ValueOf(aResponse).body, message); !IsOk(parsed)) {
     Error error = ErrorOf(parsed);
     error.kind = aUnreadable;
     return error;
@@ -229,7 +229,7 @@
   if (const Result<Done> check = CheckTransaction(aTransaction); !IsOk(check)) {
     return ErrorOf(check);
   }
-  const HttpRequest request = MakeRequest("POST", "/table/commit", ToJson(aTransaction));
+  const HttpRequest request = MakeRequest("POST", "/table/commit", WriteJson(aTransaction));
   return ParseAnswer<TableCommitAnswer>(this->impl->Call(request, Effect::kWrite),
                                         ErrorKind::kUnknown);
 }
--- a/src/platform/json.cc
+++ b/src/platform/json.cc
@@ -5,7 +5,7 @@
 namespace plantainhaven {
 
 std::string
-ToJson(const google::protobuf::Message& aMessage, bool aWithDefaults)
+WriteJson(const google::protobuf::Message& aMessage, bool aWithDefaults)
 {
   google::protobuf::util::JsonPrintOptions options;
   options.preserve_proto_field_names = true;
@@ -18,7 +18,7 @@
 }
 
 Result<Done>
-FromJson(const std::string& aJson, google::protobuf::Message& aMessage)
+ReadJson(const std::string& aJson, google::protobuf::Message& aMessage)
 {
   const auto status = google::protobuf::util::JsonStringToMessage(aJson, &aMessage);
   if (status.ok()) {
--- a/src/platform/json.h
+++ b/src/platform/json.h
@@ -11,10 +11,10 @@
 // A message in protobuf's JSON form, with the schema's own field names and with
 // fields of default value left in when `aWithDefaults` is set.
 std::string
-ToJson(const google::protobuf::Message& aMessage, bool aWithDefaults = false);
+WriteJson(const google::protobuf::Message& aMessage, bool aWithDefaults = false);
 
 // Reads the JSON form; kInvalid for other text and for unknown fields.
 Result<Done>
-FromJson(const std::string& aJson, google::protobuf::Message& aMessage);
+ReadJson(const std::string& aJson, google::protobuf::Message& aMessage);
 
 } // namespace plantainhaven
--- a/src/platform/memory_platform.cc
+++ b/src/platform/memory_platform.cc
@@ -1,5 +1,7 @@
 #include "plantainhaven/platform/memory_platform.h"
 
+#include "plantainhaven/common/time.h"
+#include "platform/lagging_vm_list.h"
 #include "platform/row_key.h"
 
 #include <map>
@@ -60,7 +62,7 @@
   mutable std::mutex mutex;
   std::map<std::string, TableRow> rows;
   std::map<std::string, std::string> objects;
-  std::map<std::string, VmListEntry> vms;
+  LaggingVmList vms;
   std::vector<TableTransaction> held;
   PlatformFault fault;
   // Version of the newest write. Counting over all rows keeps a row that was deleted
@@ -240,11 +242,7 @@
   if (const Error* error = this->impl->ReadFault()) {
     return *error;
   }
-  VmListAnswer answer;
-  for (const auto& [name, vm] : this->impl->vms) {
-    *answer.add_vms() = vm;
-  }
-  return answer;
+  return this->impl->vms.At(BootClock::Now());
 }
 
 void
@@ -284,18 +282,25 @@
   return std::chrono::milliseconds(fault.commit_delay_ms());
 }
 
+void
+MemoryPlatform::SetVmListLag(std::chrono::milliseconds aLag)
+{
+  const std::lock_guard lock(this->impl->mutex);
+  this->impl->vms.SetLag(aLag);
+}
+
 void
 MemoryPlatform::SetVm(const VmListEntry& aVm)
 {
   const std::lock_guard lock(this->impl->mutex);
-  this->impl->vms[aVm.name()] = aVm;
+  this->impl->vms.Set(aVm, BootClock::Now());
 }
 
 void
 MemoryPlatform::RemoveVm(const std::string& aName)
 {
   const std::lock_guard lock(this->impl->mutex);
-  this->impl->vms.erase(aName);
+  this->impl->vms.Remove(aName, BootClock::Now());
 }
 
 } // namespace plantainhaven
