Keep the option descriptions alive while the command line is parsed

The parser keeps a pointer to the descriptions; a temporary was passed, so every daemon built with optimisation crashed at its start (segmentation fault in option_description::match, backtrace through RunDaemon). With a named object all five start.

--- a/src/common/program.cc
+++ b/src/common/program.cc
@@ -139,9 +139,11 @@
 {
   options::variables_map given;
   try {
+    // The parser keeps pointers to both, so they must outlive it.
+    const options::options_description known = CommandLineOptions();
     const options::positional_options_description noPositions;
     options::command_line_parser parser(aArgc, aArgv);
-    parser.options(CommandLineOptions()).positional(noPositions);
+    parser.options(known).positional(noPositions);
     options::store(parser.run(), given);
   } catch (const options::error& fault) {
     return UsageError(aName, fault.what(), "Try --help.");
