--- a/src/platform/backend_standin.cc
+++ b/src/platform/backend_standin.cc
@@ -4,6 +4,7 @@
 #include "plantainhaven/http/server.h"
 #include "platform/backend_answer.h"
 #include "platform/backend_faults.h"
+#include "platform/backend_work.h"
 #include "platform/execution_log.h"
 #include "platform/json.h"
 #include "platform/pause_gate.h"
@@ -122,16 +123,16 @@
   class SlotLease
   {
   public:
-    explicit SlotLease(Impl& aOwner)
-      : owner(aOwner)
+    explicit SlotLease(SlotPool& aPool)
+      : pool(aPool)
     {
     }
-    ~SlotLease() { --this->owner.inFlight; }
+    ~SlotLease() { this->pool.GiveBack(); }
     SlotLease(const SlotLease&) = delete;
     SlotLease& operator=(const SlotLease&) = delete;
 
   private:
-    Impl& owner;
+    SlotPool& pool;
   };
 
   HttpResponse Handle(const HttpRequest& aRequest);
@@ -144,16 +145,15 @@
 
   bool IsDraining(const BackendFault& aFault) const;
   BackendLoad TrueLoad() const;
-  bool TakeSlot(const BackendFault& aFault);
   // Takes the time of one request, at most up to its deadline; false when that
   // didn't suffice. A slow fault overrides the deadline.
   bool Work(const HttpRequest& aRequest, const BackendFault& aFault);
   HttpResponse MakeAnswer(const HttpRequest& aRequest, const BackendFault& aFault);
-  milliseconds ColdWork() const;
 
   const BackendStandinOptions options;
   BootTime startedAt{};
-  std::atomic<std::size_t> inFlight = 0;
+  SlotPool slots;
+  const ColdStart cold;
   std::atomic<bool> drains = false;
   ExecutionLog executions;
   BackendFaults faults;
@@ -173,6 +173,8 @@
 
 BackendStandin::Impl::Impl(BackendStandinOptions aOptions)
   : options(Settled(std::move(aOptions)))
+  , slots(this->options.slots)
+  , cold{ this->options.coldStart, this->options.coldWork }
   , executions(kMostTrackedIds)
   , faults(this->options.seed)
   , faultGate(MostHeld(this->options))
@@ -207,13 +209,13 @@
   if (!HasValidRequestId(aRequest)) {
     return Refusal(this->options.name, kBadRequest, "malformed X-Request-Id");
   }
-  if (!this->TakeSlot(present)) {
+  if (this->faults.Hits(present.shed_percent()) || !this->slots.Take()) {
     HttpResponse response = Refusal(this->options.name, kServiceUnavailable, "shed");
     response.headers.Add(kShedHeader, "true");
     return response;
   }
   {
-    const SlotLease lease(*this);
+    const SlotLease lease(this->slots);
     this->executions.Note(OperationId(aRequest), aRequest.method);
     if (!this->Work(aRequest, present)) {
       return Refusal(this->options.name, kGatewayTimeout, "deadline");
@@ -274,32 +276,18 @@
 {
   const bool draining = this->IsDraining(this->faults.Present());
   BackendLoad load;
-  load.set_in_flight(static_cast<std::uint32_t>(this->inFlight.load()));
+  load.set_in_flight(static_cast<std::uint32_t>(this->slots.Taken()));
   load.set_slots(static_cast<std::uint32_t>(this->options.slots));
   load.set_draining(draining);
   load.set_ready(!draining);
   return load;
 }
 
-bool
-BackendStandin::Impl::TakeSlot(const BackendFault& aFault)
-{
-  if (this->faults.Hits(aFault.shed_percent())) {
-    return false;
-  }
-  std::size_t taken = this->inFlight.load();
-  while (taken < this->options.slots) {
-    if (this->inFlight.compare_exchange_weak(taken, taken + 1)) {
-      return true;
-    }
-  }
-  return false;
-}
-
 bool
 BackendStandin::Impl::Work(const HttpRequest& aRequest, const BackendFault& aFault)
 {
-  const milliseconds wanted = this->options.work + this->ColdWork();
+  const milliseconds wanted =
+    this->options.work + this->cold.ExtraAt(BootClock::Now() - this->startedAt);
   const milliseconds time = std::min(wanted, Deadline(aRequest));
   this->workGate.Pause(time + milliseconds(aFault.slow_ms()));
   return time == wanted;
@@ -331,19 +319,6 @@
   return response;
 }
 
-milliseconds
-BackendStandin::Impl::ColdWork() const
-{
-  const Nanoseconds whole = this->options.coldStart;
-  const Nanoseconds age = BootClock::Now() - this->startedAt;
-  if (age >= whole) {
-    return milliseconds(0);
-  }
-  const double left = 1.0 - static_cast<double>(age.count()) / static_cast<double>(whole.count());
-  return milliseconds(
-    static_cast<std::int64_t>(left * static_cast<double>(this->options.coldWork.count())));
-}
-
 BackendStandin::BackendStandin(BackendStandinOptions aOptions)
   : impl(std::make_unique<Impl>(std::move(aOptions)))
 {
