Block the stop signals before plantain-controld starts threads

Cause: SIGTERM ended plantain-controld at once (exit status 143) because StopSignal::Install() was never called. After: a planned stop of a VM exits 0.

--- a/src/programs/plantain-controld/main.cc
+++ b/src/programs/plantain-controld/main.cc
@@ -82,6 +82,7 @@
 int
 main(int aArgc, char** aArgv)
 {
+  plantainhaven::StopSignal::Install();
   plantainhaven::ControldSettings settings;
   return plantainhaven::RunDaemon(
     aArgc,
