--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -162,13 +162,13 @@
 
 # stop_vm NAME: a planned stop, the daemon that serves callers first.
 stop_vm() {
-  local status=0
+  local daemon worst=0
   list_vm "$1" "${vm_address[$1]}" true
-  stop_daemon "$1-entryd" || status=$?
-  stop_daemon "$1-lookupd" || status=$?
-  stop_daemon "$1-controld" || status=$?
+  for daemon in entryd lookupd controld; do
+    stop_daemon "$1-$daemon" || { echo "$1-$daemon ended with status $?"; worst=1; }
+  done
   unlist_vm "$1"
-  return $status
+  return $worst
 }
 
 # kill_vm NAME: an unplanned end; the platform's list drops the VM.
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -2,7 +2,8 @@
 # shellcheck shell=bash
 
 root="$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)"
-bin="$root/build"
+# Folder of the programs; set PLANTAINHAVEN_BUILD to use another build.
+bin="${PLANTAINHAVEN_BUILD:-$root/build}"
 # Folder of logs and generated files; the script that sources this sets it.
 work="${work:-}"
 
