Close idle connections beyond the budget instead of waiting out their age

Cause: a place in a backend server's connection budget counted as in use for the age limit of a kept connection (30 s and slack), so a VM that had just started counted its whole share as lent for 40 s and refused every request with server_connections (19 of 19 requests once its slots had come). Ruled out: a wrong split of shares; the shares were right and locked. After: idle connections above the budget are closed by the next trim and by the return of a request, so the wait is the longest request and 1 s. Left: about 6 s of refusals (region_slots) while a fleet's first shares grow.

--- a/include/plantainhaven/entry/backend_pool.h
+++ b/include/plantainhaven/entry/backend_pool.h
@@ -25,9 +25,9 @@
   std::chrono::nanoseconds budgetWait{ std::chrono::milliseconds(20) };
 };
 
-// What a connection may be open beyond the longest request over it: its age limit and
-// some slack. Its budget rests on it.
-constexpr std::chrono::seconds kConnectionUseMargin{ 35 };
+// What a connection may stay open beyond the longest request over it once this VM no
+// longer holds its place in the budget: idle ones are closed by the next Trim().
+constexpr std::chrono::seconds kConnectionUseMargin{ 1 };
 
 // An open connection with its place in the server's connection budget.
 struct PooledConnection
@@ -79,7 +79,8 @@
   // may have struck them too.
   void Discard(ConnectionPointer aConnection, BootTime aSentAt);
   // Closes connections that are too old, closed by the server or of servers that
-  // the tables don't name any more.
+  // the tables don't name any more, and idle ones beyond the server's budget. Call
+  // several times a second.
   void Trim(const RequestTables& aTables, BootTime aNow);
   std::size_t IdleCount() const;
 
--- a/include/plantainhaven/entry/budget_gate.h
+++ b/include/plantainhaven/entry/budget_gate.h
@@ -19,6 +19,9 @@
                           std::chrono::nanoseconds aLongestWait) = 0;
   // Gives back what was taken from a concurrency budget.
   virtual void Release(const LedgerId& aId, TokenThousandths aAmount) = 0;
+  // True when more of a concurrency budget is in use than this VM now holds, because
+  // its share shrank or a grant lapsed.
+  virtual bool Exceeded(const LedgerId& aId) = 0;
 };
 
 // BudgetGate over the fleet's ledgers.
@@ -41,6 +44,10 @@
   {
     this->service.Release(aId, aAmount, BootClock::Now());
   }
+  bool Exceeded(const LedgerId& aId) override
+  {
+    return this->service.Available(aId, BootClock::Now()) < 0;
+  }
 
 private:
   BudgetService& service;
@@ -70,6 +77,8 @@
   }
   ~HeldToken() { this->Release(); }
 
+  // True when this VM holds more of the budget than it may; see BudgetGate.
+  bool Exceeded() const { return this->gate != nullptr && this->gate->Exceeded(this->id); }
   void Release()
   {
     if (BudgetGate* held = std::exchange(this->gate, nullptr)) {
--- a/src/entry/backend_pool.cc
+++ b/src/entry/backend_pool.cc
@@ -39,6 +39,8 @@
   ConnectionPointer TakeIdle(const std::string& aKey, ReuseRule aRule, BootTime aNow);
   ConnectionPointer TakeAnyIdle(const std::string& aKey);
   bool TakeBudget(const ServerEntry& aServer);
+  void CloseExcess(const ServerEntry& aServer);
+  void CloseUnusable(const std::unordered_set<std::string>& aKeys, BootTime aNow);
 
   BackendPoolOptions options;
   BudgetGate& budgets;
@@ -90,6 +92,35 @@
   return this->budgets.Take(id, kOneToken, this->options.budgetWait).Taken();
 }
 
+// A share that shrank or a grant that lapsed may leave more open than the budget allows.
+void
+BackendPool::Impl::CloseExcess(const ServerEntry& aServer)
+{
+  while (this->budgets.Exceeded(ConnectionsId(aServer.name))) {
+    const ConnectionPointer excess = this->TakeAnyIdle(IdleKey(aServer));
+    if (excess == nullptr) {
+      return;
+    }
+  }
+}
+
+void
+BackendPool::Impl::CloseUnusable(const std::unordered_set<std::string>& aKeys, BootTime aNow)
+{
+  IdleList dropped;
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  for (auto& [key, list] : this->idle) {
+    const bool named = aKeys.contains(key);
+    const auto firstBad = std::stable_partition(list.begin(), list.end(), [&](const auto& aKept) {
+      const bool young = aNow - aKept->openedAt < this->options.longestAge;
+      return named && young && aKept->connection.IsOpen();
+    });
+    dropped.insert(
+      dropped.end(), std::make_move_iterator(firstBad), std::make_move_iterator(list.end()));
+    list.erase(firstBad, list.end());
+  }
+}
+
 BackendPool::BackendPool(BackendPoolOptions aOptions, BudgetGate& aBudgets)
   : impl(std::make_unique<Impl>(aOptions, aBudgets))
 {
@@ -130,7 +161,7 @@
 BackendPool::Return(ConnectionPointer aConnection, BootTime aAliveAt)
 {
   const bool young = aAliveAt - aConnection->openedAt < this->impl->options.longestAge;
-  if (!young || !aConnection->connection.IsOpen()) {
+  if (!young || !aConnection->connection.IsOpen() || aConnection->token.Exceeded()) {
     return;
   }
   aConnection->aliveAt = aAliveAt;
@@ -164,21 +195,11 @@
     for (const RegionServers& region : service.regions) {
       for (const ServerEntry& server : region.servers) {
         keys.insert(IdleKey(server));
+        this->impl->CloseExcess(server);
       }
     }
   }
-  IdleList dropped;
-  const std::lock_guard<std::mutex> lock(this->impl->mutex);
-  for (auto& [key, list] : this->impl->idle) {
-    const bool named = keys.contains(key);
-    const auto firstBad = std::stable_partition(list.begin(), list.end(), [&](const auto& aKept) {
-      const bool young = aNow - aKept->openedAt < this->impl->options.longestAge;
-      return named && young && aKept->connection.IsOpen();
-    });
-    dropped.insert(
-      dropped.end(), std::make_move_iterator(firstBad), std::make_move_iterator(list.end()));
-    list.erase(firstBad, list.end());
-  }
+  this->impl->CloseUnusable(keys, aNow);
 }
 
 std::size_t
