Test the request handler and the claims under faults

A fixture of the handler over in-process backend servers and the platform in memory. The fault table sends fees, with and without Idempotency-Key and repeats, under shedding, silence, truncation, late, crossed, failing and over-long answers, and sums up the runs of each id: none above one, none after "not run". 17 refusals made before sending are checked for reason, status, "not run", Retry-After, counter and no run.

--- /dev/null
+++ b/test/entry/request_handler_test.cc
@@ -0,0 +1,337 @@
+#include "entry/request_fixture.h"
+
+#include <catch2/catch.hpp>
+#include <google/protobuf/util/json_util.h>
+
+using namespace plantainhaven;
+
+namespace {
+
+BackendAnswer
+AnswerIn(const HttpResponse& aResponse)
+{
+  BackendAnswer answer;
+  google::protobuf::util::JsonStringToMessage(aResponse.body, &answer);
+  return answer;
+}
+
+} // namespace
+
+TEST_CASE("a request with a key is answered by a backend server that doesn't see the key")
+{
+  RequestFixture fixture;
+  HttpRequest request = RequestFixture::Ask("GET", "/pages/1?x=y");
+  request.headers.Add("Plantainhaven-Account", "large");
+  const HttpResponse response = fixture.handler.Handle(request);
+  REQUIRE(response.status == 200);
+  const BackendAnswer answer = AnswerIn(response);
+  CHECK(answer.target() == "/pages/1?x=y");
+  std::string account;
+  for (const BackendHeader& header : answer.headers()) {
+    CHECK(header.value().find(kSmallKey) == std::string::npos);
+    account += header.name() == "Plantainhaven-Account" ? header.value() : "";
+  }
+  CHECK(account == "small");
+  CHECK(fixture.Runs() == 1);
+  CHECK(fixture.budgets.Held(BudgetId::ACCOUNT_RATE) == kOneToken);
+  CHECK(fixture.budgets.Held(BudgetId::REGION_SLOTS) == 0);
+}
+
+TEST_CASE("an open route needs no key")
+{
+  RequestFixture fixture;
+  CHECK(fixture.handler.Handle(RequestFixture::Ask("GET", "/open/1", "")).status == 200);
+  CHECK(fixture.budgets.Held(BudgetId::ACCOUNT_RATE) == 0);
+}
+
+TEST_CASE("what is refused before it is sent says not run, tells why, and didn't run")
+{
+  struct RefusalCase
+  {
+    const char* reason;
+    int status;
+    void (*prepare)(RequestFixture&, HttpRequest&);
+  };
+  const RefusalCase cases[] = {
+    { "no_key",
+      401,
+      [](RequestFixture&, HttpRequest& aAsk) { aAsk.headers.Remove("Authorization"); } },
+    { "unknown_key",
+      401,
+      [](RequestFixture&, HttpRequest& aAsk) {
+        aAsk = RequestFixture::Ask("POST", "/fees", "x");
+      } },
+    { "malformed",
+      400,
+      [](RequestFixture&, HttpRequest& aAsk) { aAsk.headers.Add("authorization", "Bearer x"); } },
+    { "malformed", 400, [](RequestFixture&, HttpRequest& aAsk) { aAsk.target = "/fees/../open"; } },
+    { "malformed", 400, [](RequestFixture&, HttpRequest& aAsk) { aAsk.headers.Add("X", "\n"); } },
+    { "key_outside_authorization",
+      400,
+      [](RequestFixture&, HttpRequest& aAsk) { aAsk.body = kSmallKey; } },
+    { "no_route", 404, [](RequestFixture&, HttpRequest& aAsk) { aAsk.target = "/none"; } },
+    { "stale_view", 503, [](RequestFixture& aFixture, HttpRequest&) { aFixture.MakeStale(); } },
+    { "unknown_key",
+      401,
+      [](RequestFixture& aFixture, HttpRequest&) {
+        aFixture.config.Remove("key", "small-key");
+        aFixture.Publish();
+      } },
+    { "account_rate",
+      429,
+      [](RequestFixture& aFixture, HttpRequest&) {
+        aFixture.budgets.Refuse(BudgetId::ACCOUNT_RATE, TakeRefusal::kEmpty);
+      } },
+    { "region_slots",
+      503,
+      [](RequestFixture& aFixture, HttpRequest&) {
+        aFixture.budgets.Refuse(BudgetId::REGION_SLOTS, TakeRefusal::kEmpty);
+      } },
+    { "server_connections",
+      503,
+      [](RequestFixture& aFixture, HttpRequest&) {
+        aFixture.budgets.Refuse(BudgetId::SERVER_CONNECTIONS, TakeRefusal::kEmpty);
+      } },
+    { "no_server",
+      503,
+      [](RequestFixture& aFixture, HttpRequest&) {
+        aFixture.steering.OnReport("s0", { 0, true }, BootClock::Now());
+        aFixture.steering.OnReport("s1", { 0, true }, BootClock::Now());
+      } },
+    { "connect",
+      503,
+      [](RequestFixture& aFixture, HttpRequest&) {
+        for (const auto& server : aFixture.servers) {
+          server->Stop(std::chrono::milliseconds(0));
+        }
+      } },
+    { "shed",
+      503,
+      [](RequestFixture& aFixture, HttpRequest&) {
+        BackendFault fault;
+        fault.set_shed_percent(100);
+        aFixture.SetFaults(fault);
+      } },
+    { "claim_store",
+      503,
+      [](RequestFixture& aFixture, HttpRequest& aAsk) {
+        aAsk.headers.Add("Idempotency-Key", "k");
+        PlatformFault fault;
+        fault.set_down(true);
+        aFixture.platform.SetFault(fault);
+      } },
+    { "deadline",
+      503,
+      [](RequestFixture&, HttpRequest& aAsk) {
+        aAsk.headers.Add("Plantainhaven-Deadline-Ms", "0");
+      } },
+  };
+  for (const RefusalCase& entry : cases) {
+    INFO(entry.reason);
+    RequestFixture fixture;
+    HttpRequest request = RequestFixture::Ask("POST", "/fees");
+    entry.prepare(fixture, request);
+    const HttpResponse response = fixture.handler.Handle(request);
+    CHECK(response.status == entry.status);
+    CHECK(ReasonIn(response) == entry.reason);
+    CHECK(SaysNotRun(response));
+    CHECK(response.headers.CountOf("Retry-After") == (entry.status == 503 || entry.status == 429));
+    CHECK(fixture.Runs() == 0);
+    CHECK(fixture.budgets.Held(BudgetId::REGION_SLOTS) == 0);
+    CHECK(fixture.metrics.Counter("plantainhaven_refusals_total", "reason", entry.reason) == 1);
+  }
+}
+
+TEST_CASE("under every fault no fee runs twice and no refusal says not run after a run")
+{
+  struct FaultCase
+  {
+    const char* what;
+    BackendFault fault;
+    bool withClaim;
+  };
+  std::vector<FaultCase> cases;
+  const auto add = [&](const char* aWhat, void (*aSet)(BackendFault&)) {
+    for (const bool withClaim : { false, true }) {
+      cases.push_back({ aWhat, {}, withClaim });
+      aSet(cases.back().fault);
+    }
+  };
+  add("none", [](BackendFault&) {});
+  add("shed", [](BackendFault& aFault) { aFault.set_shed_percent(50); });
+  add("silent", [](BackendFault& aFault) { aFault.set_silent(true); });
+  add("truncated", [](BackendFault& aFault) { aFault.set_truncate_percent(50); });
+  add("late", [](BackendFault& aFault) { aFault.set_late_ms(400); });
+  add("crossed", [](BackendFault& aFault) { aFault.set_crossed_percent(50); });
+  add("failing", [](BackendFault& aFault) { aFault.set_fail_percent(50); });
+  add("shed and truncated", [](BackendFault& aFault) {
+    aFault.set_shed_percent(30);
+    aFault.set_truncate_percent(30);
+  });
+  add("over-long", [](BackendFault& aFault) { aFault.set_over_long_bytes(6 << 20); });
+  for (const FaultCase& entry : cases) {
+    CAPTURE(entry.what, entry.withClaim);
+    RequestFixture fixture(2, 150);
+    // Kept connections from before the fault.
+    fixture.handler.Handle(RequestFixture::Ask("GET", "/open/1", ""));
+    fixture.SetFaults(entry.fault);
+    std::map<std::string, bool> notRunById;
+    for (int i = 0; i < 8; ++i) {
+      HttpRequest request = RequestFixture::Ask("POST", "/fees");
+      std::string id = "fee-" + std::to_string(i);
+      if (entry.withClaim) {
+        request.headers.Add("Idempotency-Key", id);
+      }
+      bool notRun = true;
+      // The caller repeats a request with a claim, and only that, whatever came.
+      for (int repeat = 0; repeat < (entry.withClaim ? 2 : 1); ++repeat) {
+        const HttpResponse response = fixture.handler.Handle(request);
+        notRun = notRun && SaysNotRun(response);
+        if (!entry.withClaim) {
+          id = std::string(response.headers.Get("Plantainhaven-Request-Id"));
+        }
+        const bool whole = response.status == 200 && response.body.size() >= 512;
+        const bool refused = response.status != 200;
+        CHECK((whole || refused));
+      }
+      notRunById[id] = notRun;
+    }
+    // What is still running at a server ends.
+    fixture.SetFaults({});
+    for (const auto& server : fixture.servers) {
+      server->Stop(std::chrono::seconds(2));
+    }
+    std::map<std::string, std::uint32_t> runs = fixture.RunsById();
+    for (const auto& [id, count] : runs) {
+      CAPTURE(id);
+      CHECK(count == 1);
+    }
+    for (const auto& [id, notRun] : notRunById) {
+      CAPTURE(id, notRun);
+      CHECK((!notRun || runs[id] == 0));
+    }
+  }
+}
+
+TEST_CASE("an idempotent request is saved by another server")
+{
+  struct SavedCase
+  {
+    const char* reason;
+    void (*spoil)(BackendFault&);
+  };
+  const SavedCase cases[] = {
+    { "shed", [](BackendFault& aFault) { aFault.set_shed_percent(100); } },
+    { "truncated", [](BackendFault& aFault) { aFault.set_truncate_percent(100); } },
+    { "crossed", [](BackendFault& aFault) { aFault.set_crossed_percent(100); } },
+  };
+  for (const SavedCase& entry : cases) {
+    INFO(entry.reason);
+    RequestFixture fixture;
+    // The stand-in crosses answers with those of an earlier request.
+    for (int i = 0; i < 10; ++i) {
+      fixture.handler.Handle(RequestFixture::Ask("GET", "/pages/1"));
+    }
+    BackendFault fault;
+    entry.spoil(fault);
+    fixture.servers[0]->SetFault(fault);
+    for (int i = 0; i < 4; ++i) {
+      CHECK(fixture.handler.Handle(RequestFixture::Ask("GET", "/pages/1")).status == 200);
+    }
+    CHECK(fixture.metrics.Counter("plantainhaven_retries_total", "reason", entry.reason) > 0);
+  }
+}
+
+TEST_CASE("when all kept connections went silent, requests go over new ones at once")
+{
+  RequestFixture fixture(1, 5000);
+  REQUIRE(fixture.handler.Handle(RequestFixture::Ask("GET", "/pages/1")).status == 200);
+  REQUIRE(fixture.pool.IdleCount() == 1);
+  BackendFault fault;
+  fault.set_silence_existing(true);
+  fixture.servers[0]->SetFault(fault);
+  const HttpResponse response = fixture.handler.Handle(RequestFixture::Ask("GET", "/pages/1"));
+  CHECK(response.status == 200);
+  CHECK(fixture.metrics.Counter("plantainhaven_retries_total", "reason", "timeout") == 1);
+  CHECK(fixture.handler.Handle(RequestFixture::Ask("POST", "/fees")).status == 200);
+  CHECK(fixture.Runs() == 3);
+}
+
+TEST_CASE("a non-idempotent request doesn't use a kept connection without proof of life")
+{
+  RequestFixture fixture(1, 5000);
+  REQUIRE(fixture.handler.Handle(RequestFixture::Ask("GET", "/pages/1")).status == 200);
+  const auto tables = fixture.view.Tables();
+  const ServerEntry& server = tables->FindService("s")->regions[0].servers[0];
+  const BootTime now = BootClock::Now();
+  const auto reused = [&](BootTime aNow) {
+    auto taken = fixture.pool.Acquire(server, ReuseRule::kProven, aNow);
+    const bool isReused = std::get<ConnectionPointer>(taken)->reused;
+    fixture.pool.Return(std::move(std::get<ConnectionPointer>(taken)), now);
+    return isReused;
+  };
+  CHECK(reused(now));
+  CHECK_FALSE(reused(now + std::chrono::milliseconds(201)));
+}
+
+TEST_CASE("a draining server seen in an answer gets nothing new")
+{
+  RequestFixture fixture;
+  BackendFault fault;
+  fault.set_draining(true);
+  fixture.servers[0]->SetFault(fault);
+  for (int i = 0; i < 30; ++i) {
+    CHECK(fixture.handler.Handle(RequestFixture::Ask("GET", "/pages/1")).status == 200);
+  }
+  CHECK(fixture.servers[0]->Executions().total() <= 1);
+}
+
+TEST_CASE("the last look before sending catches what changed since arrival")
+{
+  struct ChangeCase
+  {
+    const char* reason;
+    void (*change)(RequestFixture&);
+  };
+  // The change happens while the request takes its slot.
+  class ChangingBudgets : public FakeBudgets
+  {
+  public:
+    TakeResult Take(const LedgerId& aId,
+                    TokenThousandths aAmount,
+                    std::chrono::nanoseconds aWait) override
+    {
+      if (aId.type == BudgetId::REGION_SLOTS) {
+        this->change();
+      }
+      return FakeBudgets::Take(aId, aAmount, aWait);
+    }
+    std::function<void()> change;
+  };
+  const ChangeCase cases[] = {
+    { "stale_view", [](RequestFixture& aFixture) { aFixture.MakeStale(); } },
+    { "unknown_key",
+      [](RequestFixture& aFixture) {
+        aFixture.config.Remove("key", "small-key");
+        aFixture.Publish();
+      } },
+    { "no_route",
+      [](RequestFixture& aFixture) {
+        aFixture.config.Remove("route", "fees");
+        aFixture.Publish();
+      } },
+  };
+  for (const ChangeCase& entry : cases) {
+    INFO(entry.reason);
+    RequestFixture fixture;
+    ChangingBudgets budgets;
+    budgets.change = [&] { entry.change(fixture); };
+    RequestHandler handler(
+      { "vm-1", "a" },
+      { fixture.view, fixture.steering, fixture.pool, budgets, fixture.claims, fixture.metrics });
+    const HttpResponse response = handler.Handle(RequestFixture::Ask("POST", "/fees"));
+    CHECK(ReasonIn(response) == entry.reason);
+    CHECK(SaysNotRun(response));
+    CHECK(fixture.Runs() == 0);
+  }
+}
