Split small budgets among fewer VMs and bound how many requests wait

Eleven parts of a small burst lie idle on ten VMs while the eleventh refuses, and one home VM alone loses the account when it dies. Under overload only as many requests wait as usually get a token in that time.

--- a/include/plantainhaven/policy/budget/ledger.h
+++ b/include/plantainhaven/policy/budget/ledger.h
@@ -128,10 +128,12 @@
   // Takes `aAmount` or refuses; never waits. Lower amounts than one token are allowed.
   TakeResult TryTake(TokenThousandths aAmount, BootTime aNow, Attempt aAttempt = Attempt::kFirst);
   // True when `aAmount` may come within `aLongestWait` of a refusal: refilled, released
-  // or borrowed from a VM that isn't known to be empty.
+  // or borrowed from a VM that isn't known to be empty. `aAhead` is what others here
+  // wait for already; under overload only as much may wait as usually comes in that time.
   bool MayArrive(TokenThousandths aAmount,
                  BootTime aNow,
-                 std::chrono::nanoseconds aLongestWait) const;
+                 std::chrono::nanoseconds aLongestWait,
+                 TokenThousandths aAhead = 0) const;
   // Until this VM's own tokens alone would reach `aAmount`; the largest value if never.
   std::chrono::nanoseconds OwnRefillTime(TokenThousandths aAmount, BootTime aNow) const;
   // Gives back what was taken from a concurrency budget; ignored for rates.
--- a/src/entry/budget_registry.h
+++ b/src/entry/budget_registry.h
@@ -31,6 +31,8 @@
   std::condition_variable changed;
   Ledger ledger;
   int waiting = 0;
+  // What the waiting requests want in all.
+  TokenThousandths wanted = 0;
   // Copy of the ledger's NextTick(), read without the lock.
   std::atomic<std::int64_t> nextTick{ 0 };
 };
--- a/src/entry/budget_service.cc
+++ b/src/entry/budget_service.cc
@@ -88,6 +88,12 @@
   void Handle(const Envelope& aMessage);
   void TickAll();
   void PublishCounts();
+  // Waits with the entry's lock released meanwhile.
+  void WaitForChange(LedgerEntry& aEntry,
+                     std::unique_lock<std::mutex>& aLock,
+                     TokenThousandths aAmount,
+                     BootTime aNow,
+                     nanoseconds aLongestWait);
   void SendAll(const std::vector<BudgetMessage>& aMessages);
   void Round(milliseconds aLongestWait);
   void Run();
@@ -124,6 +130,23 @@
   return aResult;
 }
 
+void
+BudgetService::Impl::WaitForChange(LedgerEntry& aEntry,
+                                   std::unique_lock<std::mutex>& aLock,
+                                   TokenThousandths aAmount,
+                                   BootTime aNow,
+                                   nanoseconds aLongestWait)
+{
+  const nanoseconds refill = aEntry.ledger.OwnRefillTime(aAmount, aNow);
+  ++aEntry.waiting;
+  aEntry.wanted += aAmount;
+  ++this->waiters;
+  aEntry.changed.wait_for(aLock, std::min(refill, aLongestWait));
+  --this->waiters;
+  aEntry.wanted -= aAmount;
+  --aEntry.waiting;
+}
+
 void
 BudgetService::Impl::SendAll(const std::vector<BudgetMessage>& aMessages)
 {
@@ -303,17 +326,14 @@
   const BootTime deadline = now + aLongestWait;
   TakeResult result = entry->ledger.TryTake(aAmount, now);
   entry->CopyNextTick();
+  TokenThousandths ahead = entry->wanted;
   while (result.refusal == TakeRefusal::kEmpty && now < deadline &&
-         entry->ledger.MayArrive(aAmount, now, deadline - now)) {
-    const nanoseconds refill = entry->ledger.OwnRefillTime(aAmount, now);
-    ++entry->waiting;
-    ++this->impl->waiters;
-    entry->changed.wait_for(lock, std::min<nanoseconds>(refill, deadline - now));
-    --this->impl->waiters;
-    --entry->waiting;
+         entry->ledger.MayArrive(aAmount, now, deadline - now, ahead)) {
+    this->impl->WaitForChange(*entry, lock, aAmount, now, deadline - now);
     now = this->impl->clock();
     result = entry->ledger.TryTake(aAmount, now, Attempt::kRepeated);
     entry->CopyNextTick();
+    ahead = 0;
   }
   return this->impl->Counted(result);
 }
--- a/src/policy/budget/demand.cc
+++ b/src/policy/budget/demand.cc
@@ -4,6 +4,26 @@
 
 namespace plantainhaven {
 
+namespace {
+
+// Moves an average per second towards what the latest `aElapsed` brought.
+void
+Smooth(double& aPerSecond, TokenThousandths aLatest, std::chrono::nanoseconds aElapsed)
+{
+  const double seconds = std::chrono::duration<double>(aElapsed).count();
+  const double average = std::chrono::duration<double>(Demand::kAverageOver).count();
+  const double latest = static_cast<double>(aLatest) / seconds;
+  aPerSecond += (latest - aPerSecond) * seconds / (seconds + average);
+}
+
+TokenThousandths
+In(double aPerSecond, std::chrono::nanoseconds aPeriod)
+{
+  return static_cast<TokenThousandths>(aPerSecond * std::chrono::duration<double>(aPeriod).count());
+}
+
+} // namespace
+
 void
 Demand::OnAttempt(TokenThousandths aAmount, BootTime aNow)
 {
@@ -23,6 +43,18 @@
   this->refusedNow += aAmount;
 }
 
+void
+Demand::OnTaken(TokenThousandths aAmount, bool aRepeated)
+{
+  this->taken += aAmount;
+  if (!aRepeated) {
+    return;
+  }
+  const TokenThousandths recent = std::min(this->refusedNow, aAmount);
+  this->refusedNow -= recent;
+  this->refusedBefore -= std::min(this->refusedBefore, aAmount - recent);
+}
+
 void
 Demand::Update(BootTime aNow)
 {
@@ -30,11 +62,10 @@
   if (elapsed < kPeriod) {
     return;
   }
-  const double seconds = std::chrono::duration<double>(elapsed).count();
-  const double average = std::chrono::duration<double>(kAverageOver).count();
-  const double latest = static_cast<double>(this->attempted) / seconds;
-  this->perSecond += (latest - this->perSecond) * seconds / (seconds + average);
+  Smooth(this->perSecond, this->attempted, elapsed);
+  Smooth(this->takenPerSecond, this->taken, elapsed);
   this->attempted = 0;
+  this->taken = 0;
   this->refusedBefore = this->refusedNow;
   this->refusedNow = 0;
   this->updatedAt = aNow;
@@ -43,8 +74,13 @@
 TokenThousandths
 Demand::Expected(std::chrono::nanoseconds aPeriod) const
 {
-  const double seconds = std::chrono::duration<double>(aPeriod).count();
-  return static_cast<TokenThousandths>(this->perSecond * seconds);
+  return In(this->perSecond, aPeriod);
+}
+
+TokenThousandths
+Demand::Served(std::chrono::nanoseconds aPeriod) const
+{
+  return In(this->takenPerSecond, aPeriod);
 }
 
 TokenThousandths
--- a/src/policy/budget/demand.h
+++ b/src/policy/budget/demand.h
@@ -14,11 +14,15 @@
   void OnAttempt(TokenThousandths aAmount, BootTime aNow);
   // An attempt found nothing; `aAmount` is wanted as soon as it can be borrowed.
   void OnRefused(TokenThousandths aAmount, BootTime aNow);
+  // An attempt got its tokens, at once or when it was repeated.
+  void OnTaken(TokenThousandths aAmount, bool aRepeated);
   // Brings the averages up to `aNow`. Call it at least every kPeriod while in use.
   void Update(BootTime aNow);
 
   // Average tokens asked for in `aPeriod`, of the last few hundred milliseconds.
   TokenThousandths Expected(std::chrono::nanoseconds aPeriod) const;
+  // Average tokens taken in `aPeriod`, likewise.
+  TokenThousandths Served(std::chrono::nanoseconds aPeriod) const;
   // What was refused lately and may still be waited for.
   TokenThousandths Backlog(BootTime aNow) const;
   // The largest single amount of late.
@@ -35,7 +39,9 @@
   TokenThousandths refusedNow = 0;
   TokenThousandths refusedBefore = 0;
   TokenThousandths largest = 0;
+  TokenThousandths taken = 0;
   double perSecond = 0;
+  double takenPerSecond = 0;
   BootTime updatedAt{};
   BootTime lastAttempt{};
   bool everAsked = false;
--- a/src/policy/budget/ledger.cc
+++ b/src/policy/budget/ledger.cc
@@ -62,9 +62,10 @@
 bool
 Ledger::MayArrive(TokenThousandths aAmount,
                   BootTime aNow,
-                  std::chrono::nanoseconds aLongestWait) const
+                  std::chrono::nanoseconds aLongestWait,
+                  TokenThousandths aAhead) const
 {
-  return this->impl->MayArrive(aAmount, aNow, aLongestWait);
+  return this->impl->MayArrive(aAmount, aNow, aLongestWait, aAhead);
 }
 
 std::chrono::nanoseconds
--- a/src/policy/budget/ledger_borrow.cc
+++ b/src/policy/budget/ledger_borrow.cc
@@ -12,6 +12,8 @@
 constexpr std::uint32_t kProtocolVersion = 1;
 // Unused tokens go back this long before they lapse, so that they arrive in time.
 constexpr milliseconds kReturnAhead{ 300 };
+// A grant younger than this is kept even when it isn't needed now.
+constexpr milliseconds kKeepAtLeast{ 100 };
 constexpr milliseconds kIdleTick{ 1000 };
 // A VM in use holds at least one request in stock when the budget has this many times
 // the members' number of them.
@@ -157,30 +159,33 @@
   const TokenThousandths target = this->Target(aNow);
   const std::vector<HeldGrant> held = this->borrowed.Held();
   for (const HeldGrant& grant : held) {
-    if (grant.Left() <= 0 || grant.expires - aNow > this->options.grantValidity / 2) {
+    const std::chrono::nanoseconds remaining = grant.expires - aNow;
+    if (grant.Left() <= 0 || remaining > this->options.grantValidity - kKeepAtLeast) {
       continue;
     }
-    if (!this->concurrency) {
-      if (grant.expires - aNow <= kReturnAhead) {
-        this->borrowed.Return(grant.id, grant.lender);
-      }
-      continue;
-    }
-    if (free - grant.Left() >= target) {
+    const bool aboutToLapse = !this->concurrency && remaining <= kReturnAhead;
+    if (aboutToLapse || free - grant.Left() >= target) {
       free -= grant.Left();
       this->borrowed.Return(grant.id, grant.lender);
-    } else if (!this->lenders.IsRenewing(grant.id, grant.lender, aNow)) {
-      PendingAsk ask;
-      ask.lender = grant.lender;
-      ask.endpoint = grant.endpoint;
-      ask.amount = grant.Left();
-      ask.renewedGrant = grant.id;
-      ask.askedAt = aNow;
-      aOut.push_back(this->Ask(std::move(ask), 0));
+    } else if (this->concurrency && remaining <= this->options.grantValidity / 2 &&
+               !this->lenders.IsRenewing(grant.id, grant.lender, aNow)) {
+      aOut.push_back(this->AskToRenew(grant, aNow));
     }
   }
 }
 
+BudgetMessage
+Ledger::Impl::AskToRenew(const HeldGrant& aGrant, BootTime aNow)
+{
+  PendingAsk ask;
+  ask.lender = aGrant.lender;
+  ask.endpoint = aGrant.endpoint;
+  ask.amount = aGrant.Left();
+  ask.renewedGrant = aGrant.id;
+  ask.askedAt = aNow;
+  return this->Ask(std::move(ask), 0);
+}
+
 void
 Ledger::Impl::Report(std::vector<BudgetMessage>& aOut, BootTime aNow)
 {
--- a/src/policy/budget/ledger_impl.h
+++ b/src/policy/budget/ledger_impl.h
@@ -33,7 +33,11 @@
   void TakeNow(TokenThousandths aAmount);
   void Release(TokenThousandths aAmount, BootTime aNow);
   TokenThousandths Available(BootTime aNow);
-  bool MayArrive(TokenThousandths aAmount, BootTime aNow, std::chrono::nanoseconds aLongestWait);
+  bool MayArrive(TokenThousandths aAmount,
+                 BootTime aNow,
+                 std::chrono::nanoseconds aLongestWait,
+                 TokenThousandths aAhead);
+  bool FitsInQueue(TokenThousandths aAmount, std::chrono::nanoseconds aLongestWait) const;
   std::chrono::nanoseconds OwnRefillTime(TokenThousandths aAmount, BootTime aNow);
   std::chrono::nanoseconds RetryAfter(TokenThousandths aAmount, BootTime aNow);
   bool Forgotten(BootTime aNow);
@@ -60,6 +64,7 @@
   TokenThousandths Target(BootTime aNow) const;
   void AskForMore(std::vector<BudgetMessage>& aOut, BootTime aNow);
   void KeepOrReturn(std::vector<BudgetMessage>& aOut, BootTime aNow);
+  BudgetMessage AskToRenew(const HeldGrant& aGrant, BootTime aNow);
   void Report(std::vector<BudgetMessage>& aOut, BootTime aNow);
   void PlanNextTick(BootTime aNow);
   BudgetMessage Ask(PendingAsk aAsk, TokenThousandths aLeast);
--- a/src/policy/budget/ledger_take.cc
+++ b/src/policy/budget/ledger_take.cc
@@ -57,9 +57,9 @@
     this->spec.longestUse = longestUse;
     this->history.ProlongGrowthWait(this->options.freshness + this->LongestGrant());
   }
-  if (this->members != aMembers) {
+  if (!sameSplit) {
     this->members = aMembers;
-    this->lenders.SetMembers(this->id, aMembers);
+    this->lenders.SetHolders(aMembers, HoldersOf(aSpec, *aMembers, this->options.floorThousandths));
   }
   this->history.OnShare(
     aRevision, ShareOf(aSpec, *aMembers, this->options.self, this->options.floorThousandths));
@@ -132,6 +132,7 @@
     return TakeResult{ TakeRefusal::kEmpty, this->RetryAfter(aAmount, now) };
   }
   this->TakeNow(aAmount);
+  this->demand.OnTaken(aAmount, aAttempt == Attempt::kRepeated);
   const bool nearEmpty = available - aAmount < aAmount;
   if (nearEmpty || this->nextTick > now + Demand::kPeriod) {
     this->nextTick = std::min(this->nextTick, now + Demand::kPeriod / 10);
@@ -174,17 +175,31 @@
 }
 
 bool
-Ledger::Impl::MayArrive(TokenThousandths aAmount, BootTime aNow, nanoseconds aLongestWait)
+Ledger::Impl::MayArrive(TokenThousandths aAmount,
+                        BootTime aNow,
+                        nanoseconds aLongestWait,
+                        TokenThousandths aAhead)
 {
-  if (this->OwnRefillTime(aAmount, aNow) <= aLongestWait) {
+  if (this->OwnRefillTime(aAmount + aAhead, aNow) <= aLongestWait) {
     return true;
   }
+  if (aAhead > 0 && !this->FitsInQueue(aAmount + aAhead, aLongestWait)) {
+    return false;
+  }
   if (this->concurrency && this->pool->InUse() > 0) {
     return true;
   }
   return this->lenders.Promising(this->latest, this->latest + aLongestWait / 2);
 }
 
+bool
+Ledger::Impl::FitsInQueue(TokenThousandths aAmount, nanoseconds aLongestWait) const
+{
+  const TokenThousandths usual = this->demand.Served(aLongestWait);
+  const TokenThousandths most = this->lenders.KnownShort() ? usual : this->spec.capacity;
+  return aAmount <= most;
+}
+
 nanoseconds
 Ledger::Impl::RetryAfter(TokenThousandths aAmount, BootTime /*aNow*/)
 {
--- a/src/policy/budget/lenders.cc
+++ b/src/policy/budget/lenders.cc
@@ -21,13 +21,14 @@
 }
 
 void
-Lenders::SetMembers(const LedgerId& aId, const BudgetMembers& aMembers)
+Lenders::SetHolders(const BudgetMembers& aMembers, std::vector<std::size_t> aHolders)
 {
   this->members = aMembers;
-  this->homeName = HomeOf(aId, *aMembers);
+  this->holders = std::move(aHolders);
+  this->homeName = this->holders.empty() ? "" : (*aMembers)[this->holders.front()].name;
   this->peers.clear();
-  // VMs begin their turns at different members.
-  this->next = std::hash<std::string>{}(this->self + aId.name);
+  // VMs begin their turns at different holders.
+  this->next = std::hash<std::string>{}(this->self);
 }
 
 bool
@@ -40,17 +41,17 @@
 Lenders::Choose(BootTime aNow)
 {
   std::vector<const BudgetMember*> chosen;
-  if (!this->members) {
+  if (this->holders.empty()) {
     return chosen;
   }
-  for (const BudgetMember& member : *this->members) {
-    if (member.name == this->homeName && this->MayAsk(member.name, aNow)) {
-      chosen.push_back(&member);
-      return chosen;
-    }
+  const BudgetMember& home = (*this->members)[this->holders.front()];
+  if (this->MayAsk(home.name, aNow)) {
+    chosen.push_back(&home);
+    return chosen;
   }
-  for (std::size_t i = 0; i < this->members->size() && chosen.size() < kOthersAtOnce; ++i) {
-    const BudgetMember& member = (*this->members)[this->next % this->members->size()];
+  for (std::size_t i = 0; i < this->holders.size() && chosen.size() < kOthersAtOnce; ++i) {
+    const std::size_t holder = this->holders[this->next % this->holders.size()];
+    const BudgetMember& member = (*this->members)[holder];
     ++this->next;
     if (this->MayAsk(member.name, aNow)) {
       chosen.push_back(&member);
@@ -62,13 +63,16 @@
 bool
 Lenders::Promising(BootTime aNow, BootTime aBy) const
 {
-  if (!this->members) {
-    return false;
-  }
-  return std::any_of(
-    this->members->begin(), this->members->end(), [&](const BudgetMember& aMember) {
-      return this->IsPending(aMember.name, aNow) || this->MayAsk(aMember.name, aBy);
-    });
+  return std::any_of(this->holders.begin(), this->holders.end(), [&](std::size_t aHolder) {
+    const std::string& name = (*this->members)[aHolder].name;
+    return this->IsPending(name, aNow) || this->MayAsk(name, aBy);
+  });
+}
+
+bool
+Lenders::KnownShort() const
+{
+  return this->IsHome() || this->peers.contains(this->homeName);
 }
 
 void
--- a/src/policy/budget/lenders.h
+++ b/src/policy/budget/lenders.h
@@ -32,7 +32,8 @@
 public:
   Lenders(std::string aSelf, std::chrono::nanoseconds aAskTimeout);
 
-  void SetMembers(const LedgerId& aId, const BudgetMembers& aMembers);
+  // The VMs that hold a part of the budget, as indices into `aMembers`, the home VM first.
+  void SetHolders(const BudgetMembers& aMembers, std::vector<std::size_t> aHolders);
   bool IsHome() const;
 
   // The members to ask now; empty when none is promising.
@@ -40,6 +41,9 @@
   // True when an ask is under way or Choose() would name somebody by `aBy`.
   bool Promising(BootTime aNow, BootTime aBy) const;
 
+  // True when the home VM's last answer fell short or didn't come.
+  bool KnownShort() const;
+
   void OnAsked(const PendingAsk& aAsk);
   // The ask that an answer belongs to; it is forgotten, so that a duplicate finds none.
   std::optional<PendingAsk> OnAnswer(std::uint64_t aAskId,
@@ -67,6 +71,7 @@
   std::string self;
   std::chrono::nanoseconds askTimeout;
   BudgetMembers members;
+  std::vector<std::size_t> holders;
   std::string homeName;
   std::size_t next = 0;
   std::unordered_map<std::string, Peer> peers;
--- a/src/policy/budget/shares.cc
+++ b/src/policy/budget/shares.cc
@@ -1,10 +1,15 @@
 #include "plantainhaven/policy/budget/shares.h"
 
+#include <algorithm>
+
 namespace plantainhaven {
 
 namespace {
 
 constexpr std::uint64_t kFnvOffset = 14695981039346656037ULL;
+// Smaller parts than these would lie idle on one VM while another refuses.
+constexpr TokenThousandths kLeastBurst = 8 * kOneToken;
+constexpr TokenThousandths kLeastSlots = 2 * kOneToken;
 constexpr std::uint64_t kFnvPrime = 1099511628211ULL;
 
 std::uint64_t
@@ -36,33 +41,64 @@
   return Finish(Mix(hash, aMember.name));
 }
 
+// A member's place in the order in which budgets choose their holders.
+struct Candidate
+{
+  std::size_t index = 0;
+  bool leaving = false;
+  std::uint64_t rank = 0;
+};
+
 bool
-IsMember(const std::vector<BudgetMember>& aMembers, std::string_view aName)
+ComesBefore(const Candidate& aLeft, const Candidate& aRight)
 {
-  for (const BudgetMember& member : aMembers) {
-    if (member.name == aName) {
-      return true;
-    }
+  if (aLeft.leaving != aRight.leaving) {
+    return !aLeft.leaving;
+  }
+  return aLeft.rank > aRight.rank;
+}
+
+std::vector<Candidate>
+Ranked(const LedgerId& aId, const std::vector<BudgetMember>& aMembers, std::size_t aCount)
+{
+  std::vector<Candidate> ranked;
+  ranked.reserve(aMembers.size());
+  for (std::size_t i = 0; i < aMembers.size(); ++i) {
+    ranked.push_back(Candidate{ i, aMembers[i].leaving, Rank(aId, aMembers[i]) });
   }
-  return false;
+  const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(aCount);
+  std::partial_sort(ranked.begin(), end, ranked.end(), ComesBefore);
+  ranked.resize(aCount);
+  return ranked;
+}
+
+// aAmount * aFloorThousandths / 1000 / aParts without overflow.
+TokenThousandths
+Part(TokenThousandths aAmount, std::int64_t aFloorThousandths, std::int64_t aParts)
+{
+  const std::int64_t divisor = aParts * 1000;
+  return aAmount / divisor * aFloorThousandths + aAmount % divisor * aFloorThousandths / divisor;
 }
 
-// What each member holds whatever the demand.
+// How many members get a part of the floor: fewer when the parts would be too small.
+std::int64_t
+HolderCount(const BudgetSpec& aSpec, std::size_t aMembers, std::int64_t aFloorThousandths)
+{
+  const TokenThousandths least = IsConcurrency(aSpec.id.type) ? kLeastSlots : kLeastBurst;
+  const std::int64_t parts = Part(aSpec.capacity, aFloorThousandths, 1) / least;
+  return std::clamp<std::int64_t>(parts, 1, static_cast<std::int64_t>(aMembers));
+}
+
+// What each holder has whatever the demand.
 Share
-FloorOf(const BudgetSpec& aSpec, std::int64_t aMembers, std::int64_t aFloorThousandths)
+FloorOf(const BudgetSpec& aSpec, std::int64_t aHolders, std::int64_t aFloorThousandths)
 {
-  const std::int64_t parts = aMembers * 1000;
   Share floor;
-  floor.capacity =
-    aSpec.capacity / parts * aFloorThousandths + aSpec.capacity % parts * aFloorThousandths / parts;
+  floor.capacity = Part(aSpec.capacity, aFloorThousandths, aHolders);
   if (IsConcurrency(aSpec.id.type)) {
     floor.capacity -= floor.capacity % kOneToken;
   }
-  if (floor.capacity < kOneToken) {
-    return Share{};
-  }
-  floor.ratePerSecond = aSpec.ratePerSecond / parts * aFloorThousandths +
-                        aSpec.ratePerSecond % parts * aFloorThousandths / parts;
+  floor.ratePerSecond = Part(aSpec.ratePerSecond, aFloorThousandths, aHolders);
   return floor;
 }
 
@@ -74,22 +110,20 @@
   return aType == BudgetId::REGION_SLOTS || aType == BudgetId::SERVER_CONNECTIONS;
 }
 
-std::string
-HomeOf(const LedgerId& aId, const std::vector<BudgetMember>& aMembers)
+std::vector<std::size_t>
+HoldersOf(const BudgetSpec& aSpec,
+          const std::vector<BudgetMember>& aMembers,
+          std::int64_t aFloorThousandths)
 {
-  const BudgetMember* home = nullptr;
-  std::uint64_t highest = 0;
-  for (const BudgetMember& member : aMembers) {
-    const std::uint64_t rank = Rank(aId, member);
-    const bool preferred = home != nullptr && home->leaving && !member.leaving;
-    const bool excluded = home != nullptr && !home->leaving && member.leaving;
-    const bool higher = home == nullptr || rank > highest;
-    if (preferred || (higher && !excluded)) {
-      home = &member;
-      highest = rank;
-    }
+  std::vector<std::size_t> holders;
+  if (aMembers.empty()) {
+    return holders;
+  }
+  const std::int64_t count = HolderCount(aSpec, aMembers.size(), aFloorThousandths);
+  for (const Candidate& candidate : Ranked(aSpec.id, aMembers, static_cast<std::size_t>(count))) {
+    holders.push_back(candidate.index);
   }
-  return home == nullptr ? std::string{} : home->name;
+  return holders;
 }
 
 Share
@@ -98,17 +132,20 @@
         std::string_view aSelf,
         std::int64_t aFloorThousandths)
 {
-  if (!IsMember(aMembers, aSelf)) {
-    return Share{};
-  }
-  const auto members = static_cast<std::int64_t>(aMembers.size());
-  const Share floor = FloorOf(aSpec, members, aFloorThousandths);
-  if (HomeOf(aSpec.id, aMembers) != aSelf) {
-    return floor;
+  const std::vector<std::size_t> holders = HoldersOf(aSpec, aMembers, aFloorThousandths);
+  for (std::size_t i = 0; i < holders.size(); ++i) {
+    if (aMembers[holders[i]].name != aSelf) {
+      continue;
+    }
+    const auto count = static_cast<std::int64_t>(holders.size());
+    const Share floor = FloorOf(aSpec, count, aFloorThousandths);
+    if (i > 0) {
+      return floor;
+    }
+    return Share{ aSpec.ratePerSecond - (count - 1) * floor.ratePerSecond,
+                  aSpec.capacity - (count - 1) * floor.capacity };
   }
-  const std::int64_t others = members - 1;
-  return Share{ aSpec.ratePerSecond - others * floor.ratePerSecond,
-                aSpec.capacity - others * floor.capacity };
+  return Share{};
 }
 
 } // namespace plantainhaven
