--- a/test/fleet/link_support.h
+++ b/test/fleet/link_support.h
@@ -20,6 +20,16 @@
 
 constexpr const char* kLoopback = "127.0.0.1";
 
+inline sockaddr_in
+LoopbackAddress(std::uint16_t aPort)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aPort);
+  inet_pton(AF_INET, kLoopback, &address.sin_addr);
+  return address;
+}
+
 // A listening TCP socket on loopback that never accepts or reads: connections to it
 // look open and stay silent.
 class SilentListener
@@ -30,10 +40,7 @@
   {
     const int yes = 1;
     setsockopt(this->descriptor, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(aPort);
-    inet_pton(AF_INET, kLoopback, &address.sin_addr);
+    sockaddr_in address = LoopbackAddress(aPort);
     socklen_t size = sizeof(address);
     auto* const generic = reinterpret_cast<sockaddr*>(&address);
     if (bind(this->descriptor, generic, size) != 0 || listen(this->descriptor, 16) != 0) {
@@ -47,6 +54,7 @@
   SilentListener& operator=(const SilentListener&) = delete;
 
   std::uint16_t Port() const { return this->port; }
+  int Descriptor() const { return this->descriptor; }
 
 private:
   int descriptor;
--- a/test/fleet/local_link_test.cc
+++ b/test/fleet/local_link_test.cc
@@ -1,4 +1,5 @@
 #include "fleet/link_support.h"
+#include "fleet/relay.h"
 #include "plantainhaven/fleet/local_link.h"
 #include "plantainhaven/policy/config/configuration.h"
 
@@ -143,6 +144,20 @@
   CHECK(client.Ask(AskAfter(2), kAskTimeout));
 }
 
+TEST_CASE("LocalClient: a connection that was lost track of is replaced after one ask")
+{
+  const std::uint16_t port = FreePort();
+  const ServingThread server(port);
+  Relay relay(port);
+  LocalClient client(kLoopback, relay.Port());
+  REQUIRE(client.Ask(AskAfter(1), kAskTimeout));
+  relay.Silence();
+  CHECK_FALSE(client.Ask(AskAfter(2), kShortTimeout));
+  const std::optional<ViewAnswer> answer = client.Ask(AskAfter(3), kAskTimeout);
+  REQUIRE(answer);
+  CHECK(answer->applied_revision() == 3);
+}
+
 TEST_CASE("LocalClient: a late answer isn't taken for the answer to the next ask")
 {
   const std::uint16_t port = FreePort();
--- a/test/fleet/peer_link_test.cc
+++ b/test/fleet/peer_link_test.cc
@@ -1,4 +1,5 @@
 #include "fleet/link_support.h"
+#include "fleet/relay.h"
 #include "plantainhaven/fleet/peer_link.h"
 
 #include <memory>
@@ -225,6 +226,27 @@
   CHECK(received->ask_id() == 2);
 }
 
+TEST_CASE("ZmqPeerLink: a connection that was lost track of is replaced by Reset")
+{
+  const std::uint16_t port = FreePort();
+  ZmqPeerLink receiver;
+  REQUIRE(IsOk(receiver.Bind(kLoopback, port)));
+  Relay relay(port);
+  const std::string endpoint = LoopbackEndpoint(relay.Port());
+  ZmqPeerLink sender;
+  REQUIRE(Eventually([&] { return sender.Send(endpoint, HeadAskNumber(1)); }));
+  REQUIRE(ReceivesOne(receiver));
+  relay.Silence();
+  // The fault itself: the message is taken and never arrives.
+  CHECK(sender.Send(endpoint, HeadAskNumber(2)));
+  CHECK_FALSE(receiver.Receive(milliseconds(200)));
+  sender.Reset(endpoint);
+  REQUIRE(Eventually([&] { return sender.Send(endpoint, HeadAskNumber(3)); }));
+  const std::optional<Envelope> message = ReceivesOne(receiver);
+  REQUIRE(message);
+  CHECK(message->ask_id() == 3);
+}
+
 TEST_CASE("ZmqPeerLink finds a restarted peer again without Reset")
 {
   LinkPair pair = MakeZmqPair();
