--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -13,7 +13,8 @@
 # Per backend server, by name.
 declare -A backend_port=()
 
-vm_number=0
+# Names of the planned VMs in order.
+vms=()
 
 # --- Platform ----------------------------------------------------------------
 
@@ -98,8 +99,8 @@
 
 # plan_vm NAME REGION DOMAIN: chooses its address and ports.
 plan_vm() {
-  vm_number=$((vm_number + 1))
-  vm_address[$1]="127.0.0.$((10 + vm_number))"
+  vms+=("$1")
+  vm_address[$1]="127.0.0.$((10 + ${#vms[@]}))"
   vm_region[$1]="$2"
   vm_domain[$1]="$3"
   local port
@@ -123,6 +124,17 @@
     list_vm "$1" "${vm_address[$1]}" false
 }
 
+# start_vms: starts every planned VM and waits for its resource API.
+start_vms() {
+  local vm
+  for vm in "${vms[@]}"; do
+    start_vm "$vm" || return 1
+  done
+  for vm in "${vms[@]}"; do
+    wait_http "$(api_url "$vm")/metrics" || return 1
+  done
+}
+
 # vm_settings NAME: the settings that all daemons of a VM share.
 vm_settings() {
   printf '%s\n' "vm.name=$1" "vm.address=${vm_address[$1]}" "vm.region=${vm_region[$1]}" \
@@ -150,13 +162,17 @@
   start_daemon "$1-lookupd" plantain-lookupd "$work/$1-lookupd.ini"
 }
 
+# Further settings of every plantain-entryd, SECTION.KEY=VALUE.
+entryd_extra=()
+
 start_entryd() {
   local settings
   mapfile -t settings < <(vm_settings "$1")
   set_ini "$root/samples/$user/settings/entryd.ini" "${settings[@]}" \
     platform.address=127.0.0.1 platform.port="$platform_port" \
     control.address="${vm_address[$1]}" control.port="${local_port[$1]}" \
-    entry.port="${entry_port[$1]}" entry.budget_port="${budget_port[$1]}" >"$work/$1-entryd.ini"
+    entry.port="${entry_port[$1]}" entry.budget_port="${budget_port[$1]}" \
+    "${entryd_extra[@]}" >"$work/$1-entryd.ini"
   start_daemon "$1-entryd" plantain-entryd "$work/$1-entryd.ini"
 }
 
@@ -197,3 +213,23 @@
   curl --silent --fail --max-time 2 "$(lookup_url "$1")/v1/lookup?service=$2" |
     grep -o '"vm":"[^"]*"' | cut -d'"' -f4
 }
+
+# --- Operators ---------------------------------------------------------------
+
+# ctl VM ARGUMENTS...: plantainctl against the resource API of a VM.
+ctl() {
+  local vm="$1"
+  shift
+  PLANTAINCTL_TOKEN="$operator_token" "$bin/plantainctl" \
+    --server "${vm_address[$vm]}:${api_port[$vm]}" "$@"
+}
+
+# apply_samples: writes all resources of the samples as one change.
+apply_samples() {
+  write_resources || return 1
+  local file files=()
+  for file in "$work/resources/"*.json; do
+    files+=(-f "$file")
+  done
+  ctl "${vms[0]}" apply "${files[@]}"
+}
--- a/src/programs/plantain-load/main.cc
+++ b/src/programs/plantain-load/main.cc
@@ -6,6 +6,7 @@
 
 #include <fstream>
 #include <iostream>
+#include <iterator>
 #include <string>
 
 #include <boost/program_options.hpp>
@@ -34,6 +35,9 @@
       "ADDRESS:PORT of one backend server that gets every request, as a baseline");
   add("json", "write the report as JSON instead of a table");
   add("plot", options::value<std::string>(), "file for an SVG picture of the run");
+  add("show",
+      options::value<std::string>(),
+      "print a report written by --json as a table, then exit");
   add("quiet,q", "no progress lines");
   return description;
 }
@@ -112,6 +116,22 @@
   return status.ok() ? json : status.ToString();
 }
 
+// Prints the table of a report that an earlier run wrote as JSON.
+int
+ShowReport(const std::string& aFileName)
+{
+  std::ifstream file(aFileName);
+  const std::string json(std::istreambuf_iterator<char>(file), {});
+  LoadReport report;
+  if (!google::protobuf::util::JsonStringToMessage(json, &report).ok()) {
+    std::cerr << "plantain-load: expected a report in JSON, found none in " << aFileName
+              << ". Write one with --json.\n";
+    return kExitUsage;
+  }
+  std::cout << ReportTable(report);
+  return kExitOk;
+}
+
 int
 Play(const options::variables_map& aValues, const Scenario& aScenario)
 {
@@ -145,6 +165,9 @@
     std::cout << "plantain-load " << PH_VERSION << "\n";
     return kExitOk;
   }
+  if (values.count("show") != 0) {
+    return ShowReport(values["show"].as<std::string>());
+  }
   if (values.count("config") == 0) {
     std::cerr << "plantain-load: expected --config FILE. See --help.\n";
     return kExitUsage;
