--- a/src/load/backend_watch.cc
+++ b/src/load/backend_watch.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <future>
 #include <map>
 #include <optional>
 #include <string>
@@ -124,11 +125,13 @@
     if (this->stop || server == this->scenario.servers.end()) {
       return;
     }
+    // The answer to the ask may come after the drain is in force, so the server is
+    // watched meanwhile.
     const Clock::time_point asked = Clock::now();
-    if (!AskForDrain(drain)) {
-      return;
-    }
+    std::future<bool> answer =
+      std::async(std::launch::async, [&drain] { return AskForDrain(drain); });
     this->WatchDrain(*server, asked);
+    this->drained = answer.get() && this->drained;
   }
 
   // The drain lasts until the server was last seen busy; it counts as drained once it
--- a/src/load/caller.cc
+++ b/src/load/caller.cc
@@ -17,6 +17,7 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr char kNotRunHeader[] = "Plantainhaven-Not-Run";
+constexpr char kOutcomeHeader[] = "Plantainhaven-Outcome";
 constexpr char kReasonHeader[] = "Plantainhaven-Reason";
 constexpr int kServerError = 500;
 constexpr std::size_t kRunIdLength = 12;
@@ -33,10 +34,12 @@
 };
 
 // Reasons of one VM alone, for which another VM may well accept the request.
+constexpr std::array kReasonsOfVm{ "no_configuration", "shift_unknown", "stale_view" };
+
 bool
 IsReasonOfVm(std::string_view aReason)
 {
-  return aReason == "stale_view" || aReason == "leaving";
+  return std::find(kReasonsOfVm.begin(), kReasonsOfVm.end(), aReason) != kReasonsOfVm.end();
 }
 
 Attempt
@@ -49,6 +52,11 @@
     attempt.retry = IsReasonOfVm(attempt.reason);
     return attempt;
   }
+  if (aResponse.headers.Get(kOutcomeHeader) == "unknown") {
+    attempt.reason = aResponse.headers.Get(kReasonHeader);
+    attempt.unknown = true;
+    return attempt;
+  }
   if (aResponse.status >= kServerError) {
     attempt.reason = "status_" + std::to_string(aResponse.status);
     attempt.unknown = true;
