Charge the links between regions for requests and answers

Cause: only the request's bytes were charged, on the way there, although answers are most of the traffic. Now the way back is charged with the mean of recent answers before the request is sent; what was foretold wrongly is carried over to the next charges, in parts that a small share can pay. A region that couldn't be entered gives the refusal its reason.

--- a/include/plantainhaven/entry/request_handler.h
+++ b/include/plantainhaven/entry/request_handler.h
@@ -4,6 +4,7 @@
 #include "plantainhaven/entry/backend_pool.h"
 #include "plantainhaven/entry/budget_gate.h"
 #include "plantainhaven/entry/claim_store.h"
+#include "plantainhaven/entry/link_charges.h"
 #include "plantainhaven/entry/steering.h"
 #include "plantainhaven/entry/view_state.h"
 #include "plantainhaven/http/message.h"
@@ -32,6 +33,7 @@
   Steering& steering;
   BackendPool& pool;
   BudgetGate& budgets;
+  LinkCharges& links;
   ClaimStore& claims;
   Metrics& metrics;
 };
--- a/src/entry/attempts.cc
+++ b/src/entry/attempts.cc
@@ -12,6 +12,8 @@
 constexpr char kDrainingHeader[] = "Plantainhaven-Draining";
 constexpr char kRequestIdHeader[] = "Plantainhaven-Request-Id";
 constexpr char kDeadlineHeader[] = "Plantainhaven-Deadline-Ms";
+// Taken for the head of a request or answer.
+constexpr std::size_t kHeadBytes = 512;
 // So many times the usual time of a server is still not suspicious.
 constexpr int kUsualTimes = 4;
 constexpr int kServiceUnavailable = 503;
@@ -60,7 +62,7 @@
   while (true) {
     const std::shared_ptr<const ServerEntry> server = this->ChooseServer();
     if (server == nullptr) {
-      return this->mayHaveRun ? RefusalReason::kOutcomeUnknown : RefusalReason::kNoServer;
+      return this->mayHaveRun ? RefusalReason::kOutcomeUnknown : this->regionRefusal;
     }
     ++this->attempts;
     const AttemptEnd end = this->Attempt(*server);
@@ -104,7 +106,6 @@
 std::optional<RefusalReason>
 RequestRun::EnterRegion()
 {
-  RefusalReason reason = RefusalReason::kNoServer;
   while (this->nextRegion < this->plan.regions.size()) {
     const std::string& next = this->plan.regions[this->nextRegion++];
     const bool last = this->nextRegion == this->plan.regions.size();
@@ -113,9 +114,9 @@
       this->region = next;
       return std::nullopt;
     }
-    reason = *refused;
+    this->regionRefusal = *refused;
   }
-  return reason;
+  return this->regionRefusal;
 }
 
 std::optional<RefusalReason>
@@ -137,20 +138,34 @@
 std::optional<RefusalReason>
 RequestRun::ChargeLink(const std::string& aRegion)
 {
-  const std::string& own = this->options.ownRegion;
-  if (aRegion == own || !this->tables->HasLink(own, aRegion)) {
-    return std::nullopt;
+  auto result =
+    this->services.links.Charge(*this->tables, this->service->name, aRegion, this->RequestBytes());
+  if (const TakeResult* refused = std::get_if<TakeResult>(&result)) {
+    this->slot.Release();
+    this->retryAfter = refused->retryAfter;
+    return RefusalReason::kLinkBandwidth;
   }
-  const auto bytes = static_cast<TokenThousandths>(this->request.body.size() + 1024);
-  const LedgerId id = LinkBudget(own, aRegion, 0).id;
-  const TakeResult taken =
-    this->services.budgets.Take(id, bytes * kOneToken, std::chrono::nanoseconds(0));
-  if (taken.Taken()) {
-    return std::nullopt;
+  this->SettleLink();
+  this->charged = std::move(std::get<LinkCharges::Charged>(result));
+  return std::nullopt;
+}
+
+void
+RequestRun::SettleLink()
+{
+  if (this->charged) {
+    this->services.links.Settle(*this->charged, this->sentBytes, this->answerBytes);
   }
-  this->slot.Release();
-  this->retryAfter = taken.retryAfter;
-  return RefusalReason::kLinkBandwidth;
+  this->charged.reset();
+  this->sentBytes = 0;
+  this->answerBytes = 0;
+}
+
+std::int64_t
+RequestRun::RequestBytes() const
+{
+  return static_cast<std::int64_t>(kHeadBytes + this->request.target.size() +
+                                   this->request.body.size());
 }
 
 // A server of the region; after a failure rather one that hasn't been tried, if need be
@@ -242,6 +257,7 @@
   forwarded.headers.Remove(kDeadlineHeader);
   forwarded.headers.Add(kDeadlineHeader, std::to_string(left.count()));
   forwarded.body = this->request.body;
+  this->sentBytes += this->RequestBytes();
   auto result = aConnection->connection.Exchange(forwarded, wait);
   if (const ExchangeFailure* failure = std::get_if<ExchangeFailure>(&result)) {
     this->services.pool.Discard(std::move(aConnection), sentAt);
@@ -249,6 +265,7 @@
   }
   HttpResponse& response = std::get<HttpResponse>(result);
   const BootTime answeredAt = BootClock::Now();
+  this->answerBytes += static_cast<std::int64_t>(kHeadBytes + response.body.size());
   const AttemptEnd end = this->Judge(aServer, response);
   if (end == AttemptEnd::kCrossed) {
     this->services.pool.Discard(std::move(aConnection), sentAt);
--- a/src/entry/entry_program.cc
+++ b/src/entry/entry_program.cc
@@ -107,9 +107,16 @@
     , gate(this->budgets)
     , steering(SteeringOptionsOf(aSettings))
     , pool(PoolOptionsOf(aSettings), this->gate)
+    , links(aSettings.vm().region(), this->gate)
     , claims(this->platform, aSettings.vm().name())
     , handler(HandlerOptionsOf(aSettings),
-              { this->view, this->steering, this->pool, this->gate, this->claims, this->metrics })
+              { this->view,
+                this->steering,
+                this->pool,
+                this->gate,
+                this->links,
+                this->claims,
+                this->metrics })
     , server(ServerOptionsOf(aSettings),
              [this](const HttpRequest& aRequest) { return this->handler.Handle(aRequest); })
     , poller({}, this->view, this->pool, this->steering)
@@ -175,6 +182,7 @@
   ServiceBudgetGate gate;
   Steering steering;
   BackendPool pool;
+  LinkCharges links;
   ClaimStore claims;
   RequestHandler handler;
   HttpServer server;
--- a/src/entry/request_run.cc
+++ b/src/entry/request_run.cc
@@ -52,15 +52,13 @@
     &RequestRun::AdmitAccount, &RequestRun::PlanRegions, &RequestRun::TakeClaim,
     &RequestRun::MakeAttempts,
   };
-  for (const Step step : kSteps) {
-    if (const std::optional<RefusalReason> reason = (this->*step)()) {
-      return this->Refuse(*reason);
-    }
-    if (this->answer) {
-      break;
-    }
-  }
-  return std::move(*this->answer);
+  std::optional<RefusalReason> reason;
+  for (auto step = kSteps.begin(); step != kSteps.end() && !reason && !this->answer; ++step) {
+    reason = (this->**step)();
+  }
+  this->SettleLink();
+  this->slot.Release();
+  return reason ? this->Refuse(*reason) : std::move(*this->answer);
 }
 
 std::optional<RefusalReason>
--- a/src/entry/request_run.h
+++ b/src/entry/request_run.h
@@ -41,6 +41,8 @@
   std::optional<RefusalReason> EnterRegion();
   std::optional<RefusalReason> TakeRegion(const std::string& aRegion, bool aLast);
   std::optional<RefusalReason> ChargeLink(const std::string& aRegion);
+  void SettleLink();
+  std::int64_t RequestBytes() const;
   std::shared_ptr<const ServerEntry> ChooseServer();
   AttemptEnd Attempt(const ServerEntry& aServer);
   AttemptEnd Exchange(const ServerEntry& aServer, ConnectionPointer aConnection);
@@ -77,7 +79,13 @@
   RegionPlan plan;
   std::size_t nextRegion = 0;
   std::string region;
+  // Why the region tried last couldn't be entered.
+  RefusalReason regionRefusal = RefusalReason::kNoServer;
   HeldToken slot;
+  // What the present region was charged, and what went over the link since.
+  std::optional<LinkCharges::Charged> charged;
+  std::int64_t sentBytes = 0;
+  std::int64_t answerBytes = 0;
   Avoided avoided;
   std::uint32_t attempts = 0;
   // True once a byte of the request may have reached a server that didn't say that
--- a/test/entry/claim_store_test.cc
+++ b/test/entry/claim_store_test.cc
@@ -154,9 +154,14 @@
   budgets.platform = &fixture.platform;
   budgets.fault = fault;
   budgets.Refuse(BudgetId::REGION_SLOTS, TakeRefusal::kEmpty);
-  RequestHandler handler(
-    { "vm-1", "a" },
-    { fixture.view, fixture.steering, fixture.pool, budgets, fixture.claims, fixture.metrics });
+  RequestHandler handler({ "vm-1", "a" },
+                         { fixture.view,
+                           fixture.steering,
+                           fixture.pool,
+                           budgets,
+                           fixture.links,
+                           fixture.claims,
+                           fixture.metrics });
   const HttpResponse refused = handler.Handle(request);
   CHECK(ReasonIn(refused) == "region_slots");
   CHECK(SaysNotRun(refused));
--- a/test/entry/request_fixture.h
+++ b/test/entry/request_fixture.h
@@ -72,7 +72,7 @@
 
 // A request handler over in-process backend servers and an in-memory platform. The
 // service "s" runs in region a, where the handler stands, with servers s0, s1, ...
-// each in a failure domain of its own.
+// each in a failure domain of its own; others may be added in other regions.
 class RequestFixture
 {
 public:
@@ -90,7 +90,7 @@
     this->Publish();
   }
 
-  void AddServer()
+  void AddServer(const std::string& aRegion = "a")
   {
     const std::string name = "s" + std::to_string(this->servers.size());
     BackendStandinOptions options;
@@ -99,7 +99,7 @@
     options.work = std::chrono::milliseconds(2);
     this->servers.push_back(std::make_unique<BackendStandin>(options));
     this->servers.back()->Start();
-    this->config.AddServer(name, "s", "a", name + "-domain", options.port);
+    this->config.AddServer(name, "s", aRegion, name + "-domain", options.port);
   }
 
   // Makes what was added to the configuration the newest tables.
@@ -161,11 +161,16 @@
   ViewState view;
   Steering steering{ { "a", 1 } };
   BackendPool pool{ {}, this->budgets };
+  LinkCharges links{ "a", this->budgets };
   ClaimStore claims{ this->platform, "vm-1" };
-  RequestHandler handler{
-    { "vm-1", "a" },
-    { this->view, this->steering, this->pool, this->budgets, this->claims, this->metrics }
-  };
+  RequestHandler handler{ { "vm-1", "a" },
+                          { this->view,
+                            this->steering,
+                            this->pool,
+                            this->budgets,
+                            this->links,
+                            this->claims,
+                            this->metrics } };
 };
 
 inline bool
--- a/test/entry/request_handler_test.cc
+++ b/test/entry/request_handler_test.cc
@@ -326,12 +326,67 @@
     RequestFixture fixture;
     ChangingBudgets budgets;
     budgets.change = [&] { entry.change(fixture); };
-    RequestHandler handler(
-      { "vm-1", "a" },
-      { fixture.view, fixture.steering, fixture.pool, budgets, fixture.claims, fixture.metrics });
+    RequestHandler handler({ "vm-1", "a" },
+                           { fixture.view,
+                             fixture.steering,
+                             fixture.pool,
+                             budgets,
+                             fixture.links,
+                             fixture.claims,
+                             fixture.metrics });
     const HttpResponse response = handler.Handle(RequestFixture::Ask("POST", "/fees"));
     CHECK(ReasonIn(response) == entry.reason);
     CHECK(SaysNotRun(response));
     CHECK(fixture.Runs() == 0);
   }
 }
+
+TEST_CASE("without room in the own region a request goes to another one, within its link")
+{
+  const bool linkFull = GENERATE(false, true);
+  RequestFixture fixture(1);
+  fixture.AddServer("b");
+  for (const char* ends : { "ab", "ba" }) {
+    Link* link = fixture.config.Add(ends).mutable_link();
+    link->set_from_region(std::string(1, ends[0]));
+    link->set_to_region(std::string(1, ends[1]));
+    link->set_megabits_per_second(100);
+  }
+  fixture.Publish();
+  fixture.steering.OnReport("s0", { 0, true }, BootClock::Now());
+  if (linkFull) {
+    fixture.budgets.Refuse(BudgetId::LINK_BANDWIDTH, TakeRefusal::kEmpty);
+  }
+  HttpRequest request = RequestFixture::Ask("POST", "/fees");
+  request.body = std::string(10000, 'x');
+  const HttpResponse response = fixture.handler.Handle(request);
+  if (linkFull) {
+    CHECK(ReasonIn(response) == "link_bandwidth");
+    CHECK(SaysNotRun(response));
+    CHECK(fixture.Runs() == 0);
+  } else {
+    CHECK(response.status == 200);
+    CHECK(response.headers.Get("Plantainhaven-Region") == "b");
+    CHECK(fixture.budgets.Held(BudgetId::LINK_BANDWIDTH) > 10000 * kOneToken);
+  }
+}
+
+TEST_CASE("a lost region's part of the traffic is refused until the shift has moved it")
+{
+  RequestFixture fixture(1);
+  fixture.AddServer("b");
+  fixture.config.AddPolicy("s", { 50, 50 }, 1, 3600);
+  fixture.Publish();
+  fixture.steering.OnReport("s0", { 0, true }, BootClock::Now());
+  int answered = 0;
+  int refused = 0;
+  for (int i = 0; i < 40; ++i) {
+    const HttpResponse response = fixture.handler.Handle(RequestFixture::Ask("GET", "/pages/1"));
+    answered += response.status == 200 ? 1 : 0;
+    refused += ReasonIn(response) == "shift_cap" && SaysNotRun(response) ? 1 : 0;
+  }
+  CHECK(answered + refused == 40);
+  CHECK(answered >= 18);
+  CHECK(answered <= 22);
+  CHECK(fixture.servers[0]->Executions().total() == 0);
+}
