Prove the drain's compare-and-set and mend what the linter shows

Key and drain calls have a file of their own; the watch trusts the service's order instead of filtering again.

--- a/include/plantainhaven/policy/config/configuration.h
+++ b/include/plantainhaven/policy/config/configuration.h
@@ -17,7 +17,8 @@
 
 // The whole configuration at one revision: every resource of every kind. Client
 // blocks, of which there may be hundreds of thousands, are held compactly. A value
-// type: copies share what didn't change where that is cheap. Not thread-safe.
+// type: copies share what didn't change where that is cheap. Not thread-safe, but a
+// copy may be used by another thread while the original changes.
 class Configuration
 {
 public:
--- a/src/api/answers.cc
+++ b/src/api/answers.cc
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr int kOkStatus = 200;
+constexpr int kNotYetAcceptedStatus = 202;
 constexpr int kInternalStatus = 500;
 
 struct KindStatus
@@ -88,6 +90,12 @@
   return kInternalStatus;
 }
 
+int
+StatusOf(const WriteOutcome& aOutcome)
+{
+  return aOutcome.accepted() ? kOkStatus : kNotYetAcceptedStatus;
+}
+
 HttpResponse
 ErrorResponse(const Error& aError, const Resource* aCurrent)
 {
--- a/src/api/answers.h
+++ b/src/api/answers.h
@@ -35,6 +35,10 @@
 HttpResponse
 ErrorResponse(int aStatus, const Error& aError);
 
+// 200 for an accepted write, 202 for one that is committed but not yet accepted.
+int
+StatusOf(const WriteOutcome& aOutcome);
+
 // An answer with a message as its body, taken at a revision.
 HttpResponse
 MessageResponse(int aStatus, const google::protobuf::Message& aMessage, Revision aRevision);
--- a/src/api/resource_writer.cc
+++ b/src/api/resource_writer.cc
@@ -1,7 +1,6 @@
 #include "api/resource_writer.h"
 
 #include "api/answers.h"
-#include "plantainhaven/common/digest.h"
 #include "plantainhaven/policy/config/validation.h"
 
 #include <utility>
@@ -10,21 +9,6 @@
 
 namespace {
 
-constexpr int kOkStatus = 200;
-constexpr int kNotYetAcceptedStatus = 202;
-// Characters of the random part of a key's name.
-constexpr std::size_t kKeySuffixLength = 8;
-// How often a drain is tried again after another write came first.
-constexpr int kDrainAttempts = 5;
-// Longest wait for the write that came first to be seen here.
-constexpr std::chrono::milliseconds kDrainWait{ 500 };
-
-int
-StatusOf(const WriteOutcome& aOutcome)
-{
-  return aOutcome.accepted() ? kOkStatus : kNotYetAcceptedStatus;
-}
-
 // Checks that the body is the resource that the path names; fills in its name.
 Result<Done>
 MatchPath(const Call& aCall, Resource& aResource)
@@ -72,33 +56,8 @@
   return Done{};
 }
 
-// True when the outcome is that of an earlier call with the same change id.
-bool
-HoldsOtherKey(const WriteOutcome& aOutcome, const Resource& aKey)
-{
-  return aOutcome.resources_size() == 1 &&
-         aOutcome.resources(0).key().digest() != aKey.key().digest();
-}
-
-Error
-AlreadyIssued(const WriteOutcome& aOutcome)
-{
-  return { ErrorKind::kConflict,
-           "this change id has already issued key \"" + aOutcome.resources(0).name() +
-             "\", which is shown once only",
-           "withdraw that key if its answer was lost, then issue another with a new change id" };
-}
-
 } // namespace
 
-// A set of writes with all that its answer needs.
-struct ResourceWriter::Write
-{
-  std::string changeId;
-  ApplyRequest request;
-  std::vector<Revision> deleteVersions = {};
-};
-
 Result<WriteOutcome>
 ResourceWriter::Commit(const Write& aWrite)
 {
@@ -235,80 +194,4 @@
   return this->CommitAndAnswer(write);
 }
 
-HttpResponse
-ResourceWriter::IssueKey(const Call& aCall)
-{
-  const Result<std::string> changeId = ChangeIdOf(aCall.request.headers);
-  if (!IsOk(changeId)) {
-    return ErrorResponse(ErrorOf(changeId));
-  }
-  Revision revision = 0;
-  if (Result<Resource> account = this->Read("client_account", aCall.name, revision);
-      !IsOk(account)) {
-    return ErrorResponse(ErrorOf(account));
-  }
-  const std::string key = RandomKey();
-  Write write{ ValueOf(changeId), {} };
-  Resource& resource = *write.request.add_resources();
-  resource.set_name(aCall.name + '.' + RandomId().substr(0, kKeySuffixLength));
-  resource.set_version(kMustNotExist);
-  resource.mutable_key()->set_client_account(aCall.name);
-  resource.mutable_key()->set_digest(Sha256Hex(key));
-  const Result<WriteOutcome> outcome = this->Commit(write);
-  if (!IsOk(outcome)) {
-    return this->AnswerError(write, ErrorOf(outcome));
-  }
-  if (HoldsOtherKey(ValueOf(outcome), resource)) {
-    return this->AnswerError(write, AlreadyIssued(ValueOf(outcome)));
-  }
-  IssuedKey issued;
-  issued.set_name(resource.name());
-  issued.set_key(key);
-  *issued.mutable_outcome() = ValueOf(outcome);
-  HttpResponse response =
-    MessageResponse(StatusOf(ValueOf(outcome)), issued, ValueOf(outcome).revision());
-  response.headers.Add(kChangeIdHeader, write.changeId);
-  response.headers.Add("Cache-Control", "no-store");
-  return response;
-}
-
-HttpResponse
-ResourceWriter::Drain(const Call& aCall)
-{
-  return this->SetDraining(aCall, true);
-}
-
-HttpResponse
-ResourceWriter::Undrain(const Call& aCall)
-{
-  return this->SetDraining(aCall, false);
-}
-
-HttpResponse
-ResourceWriter::SetDraining(const Call& aCall, bool aDraining)
-{
-  const Result<std::string> changeId = ChangeIdOf(aCall.request.headers);
-  if (!IsOk(changeId)) {
-    return ErrorResponse(ErrorOf(changeId));
-  }
-  for (int attempt = 1;; ++attempt) {
-    Revision revision = 0;
-    Result<Resource> current = this->Read("backend_server", aCall.name, revision);
-    if (!IsOk(current)) {
-      return ErrorResponse(ErrorOf(current));
-    }
-    Write write{ ValueOf(changeId), {} };
-    Resource& server = *write.request.add_resources();
-    server = std::move(ValueOf(current));
-    server.mutable_backend_server()->set_draining(aDraining);
-    const Result<WriteOutcome> outcome = this->Commit(write);
-    const bool raced = !IsOk(outcome) && ErrorOf(outcome).kind == ErrorKind::kConflict;
-    if (!raced || attempt == kDrainAttempts) {
-      return this->Answer(write, outcome);
-    }
-    // The write that came first may not have arrived here yet.
-    this->service.ChangesAfter(revision, kDrainWait);
-  }
-}
-
 } // namespace plantainhaven
--- a/src/api/resource_writer.h
+++ b/src/api/resource_writer.h
@@ -29,7 +29,13 @@
   HttpResponse Undrain(const Call& aCall);
 
 private:
-  struct Write;
+  // A set of writes with all that its answer needs.
+  struct Write
+  {
+    std::string changeId;
+    ApplyRequest request;
+    std::vector<Revision> deleteVersions = {};
+  };
 
   Result<WriteOutcome> Commit(const Write& aWrite);
   HttpResponse Answer(const Write& aWrite, const Result<WriteOutcome>& aOutcome);
--- a/src/api/watch.cc
+++ b/src/api/watch.cc
@@ -121,10 +121,8 @@
 {
   std::string lines;
   for (const ChangeRecord& change : aChanges) {
-    if (change.revision() > aWatch.after) {
-      lines += EventLine(change, aWatch.kind);
-      aWatch.after = change.revision();
-    }
+    lines += EventLine(change, aWatch.kind);
+    aWatch.after = change.revision();
   }
   return lines;
 }
--- a/src/policy/config/block_table.cc
+++ b/src/policy/config/block_table.cc
@@ -73,8 +73,9 @@
 FirstAtOrAfter(EditIterator aEdit, EditIterator aEnd, const Chunk& aNext)
 {
   const Ipv4Prefix first = aNext.front().Prefix();
-  return std::find_if(
-    aEdit, aEnd, [&](const PackedEdit& aCandidate) { return aCandidate.block.Prefix() >= first; });
+  return std::find_if(aEdit, aEnd, [&](const PackedEdit& aCandidate) {
+    return !(aCandidate.block.Prefix() < first);
+  });
 }
 
 // Adds blocks as one chunk, or cut in even pieces when they are too many for one.
@@ -218,7 +219,7 @@
   for (const SharedChunk& chunk : this->chunks) {
     bytes += sizeof(Chunk) + chunk->capacity() * sizeof(PackedBlock);
   }
-  bytes += sizeof(*this->regions) + this->regions->capacity() * sizeof(std::string);
+  bytes += sizeof(std::vector<std::string>) + this->regions->capacity() * sizeof(std::string);
   for (const std::string& region : *this->regions) {
     bytes += region.capacity();
   }
--- a/src/policy/config/cidr.h
+++ b/src/policy/config/cidr.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <variant>
 
 namespace plantainhaven {
@@ -16,7 +17,11 @@
   std::uint32_t address = 0;
   std::uint8_t length = 0;
 
-  friend auto operator<=>(const Ipv4Prefix&, const Ipv4Prefix&) = default;
+  friend bool operator==(const Ipv4Prefix&, const Ipv4Prefix&) = default;
+  friend bool operator<(const Ipv4Prefix& aLeft, const Ipv4Prefix& aRight)
+  {
+    return std::tie(aLeft.address, aLeft.length) < std::tie(aRight.address, aRight.length);
+  }
 };
 
 // Reads a canonical CIDR such as 10.1.2.0/24. A fault, whose field is left empty,
--- a/src/policy/config/kinds.cc
+++ b/src/policy/config/kinds.cc
@@ -15,6 +15,7 @@
 ReadKinds()
 {
   std::vector<std::string> kinds;
+  kinds.reserve(static_cast<std::size_t>(SpecOneof()->field_count()));
   for (int index = 0; index < SpecOneof()->field_count(); ++index) {
     kinds.push_back(SpecOneof()->field(index)->name());
   }
--- a/src/policy/config/validation.cc
+++ b/src/policy/config/validation.cc
@@ -33,7 +33,7 @@
 CheckDistinct(const ApplyRequest& aWrite)
 {
   std::set<ResourceKey> seen;
-  const auto add = [&](ResourceKey aKey) -> Result<Done> {
+  const auto add = [&](const ResourceKey& aKey) -> Result<Done> {
     if (seen.insert(aKey).second) {
       return Done{};
     }
--- a/src/policy/config/write_view.h
+++ b/src/policy/config/write_view.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace plantainhaven {
 
@@ -16,7 +17,10 @@
   std::string kind;
   std::string name;
 
-  friend auto operator<=>(const ResourceKey&, const ResourceKey&) = default;
+  friend bool operator<(const ResourceKey& aLeft, const ResourceKey& aRight)
+  {
+    return std::tie(aLeft.kind, aLeft.name) < std::tie(aRight.kind, aRight.name);
+  }
 };
 
 // What a configuration would look like after a set of writes. Refers to both, which
--- a/src/programs/plantainctl/session.cc
+++ b/src/programs/plantainctl/session.cc
@@ -53,21 +53,6 @@
   return false;
 }
 
-// Brings an outcome inside a body up to date once it is accepted.
-std::string
-MarkAccepted(const std::string& aBody)
-{
-  WriteOutcome outcome;
-  HttpResponse response;
-  response.body = aBody;
-  if (!ReadBody(response, outcome) || outcome.revision() == 0) {
-    return aBody;
-  }
-  outcome.set_accepted(true);
-  outcome.clear_missing_vms();
-  return ToJson(outcome);
-}
-
 } // namespace
 
 Session::Session(Options aOptions)
@@ -126,12 +111,20 @@
     Succeeded(aSession.client.Send(std::move(aRequest)), aExit);
   const bool pending = response && aExit == ExitCode::kNotYetAccepted;
   if (pending && aSession.options.wait && WaitUntilAccepted(aSession, RevisionOf(*response))) {
-    response->body = MarkAccepted(response->body);
     aExit = ExitCode::kOk;
   }
   return response;
 }
 
+void
+MarkAccepted(ExitCode aExit, WriteOutcome& aOutcome)
+{
+  if (aExit == ExitCode::kOk) {
+    aOutcome.set_accepted(true);
+    aOutcome.clear_missing_vms();
+  }
+}
+
 ExitCode
 WriteAndPrint(Session& aSession, HttpRequest aRequest)
 {
@@ -141,11 +134,13 @@
     return exit;
   }
   WriteOutcome outcome;
-  if (aSession.options.output == OutputFormat::kJson || !ReadBody(*response, outcome)) {
+  if (!ReadBody(*response, outcome)) {
     std::cout << response->body << '\n';
-  } else {
-    std::cout << OutcomeText(outcome);
+    return exit;
   }
+  MarkAccepted(exit, outcome);
+  const bool json = aSession.options.output == OutputFormat::kJson;
+  std::cout << (json ? ToJson(outcome) + '\n' : OutcomeText(outcome));
   return exit;
 }
 
--- a/src/programs/plantainctl/session.h
+++ b/src/programs/plantainctl/session.h
@@ -4,6 +4,7 @@
 #include "programs/plantainctl/exit_codes.h"
 #include "programs/plantainctl/options.h"
 
+#include <optional>
 #include <string>
 
 #include <google/protobuf/message.h>
@@ -36,6 +37,10 @@
 std::optional<HttpResponse>
 SendWrite(Session& aSession, HttpRequest aRequest, ExitCode& aExit);
 
+// Brings an outcome up to date after SendWrite() waited for acceptance.
+void
+MarkAccepted(ExitCode aExit, WriteOutcome& aOutcome);
+
 // Sends a write and prints its outcome.
 ExitCode
 WriteAndPrint(Session& aSession, HttpRequest aRequest);
--- a/src/programs/plantainctl/write_commands.cc
+++ b/src/programs/plantainctl/write_commands.cc
@@ -89,9 +89,13 @@
     return exit;
   }
   IssuedKey issued;
-  const bool asTable =
-    aSession.options.output == OutputFormat::kTable && ReadBody(*response, issued);
-  std::cout << (asTable ? IssuedKeyText(issued) : response->body + '\n');
+  if (!ReadBody(*response, issued)) {
+    std::cout << response->body << '\n';
+    return exit;
+  }
+  MarkAccepted(exit, *issued.mutable_outcome());
+  const bool json = aSession.options.output == OutputFormat::kJson;
+  std::cout << (json ? ToJson(issued) + '\n' : IssuedKeyText(issued));
   return exit;
 }
 
--- a/test/api/actions_test.cc
+++ b/test/api/actions_test.cc
@@ -81,9 +81,8 @@
 TEST_CASE("A drain that lost a race is repeated on the newer state")
 {
   ApiFixture fixture;
-  fixture.service.failures = { kConflict };
-  // The write that came first arrives here while the drain waits for it.
-  fixture.service.onWait = [&] {
+  // The write that comes first lands between the drain's own read and write.
+  fixture.service.beforeWrite = [&] {
     auto server = FromText<Resource>(fixture.Ask("GET", "/v1/backend_server/portal-1").body);
     server.mutable_backend_server()->set_slots(77);
     std::string body;
--- a/test/api/fake_resource_service.h
+++ b/test/api/fake_resource_service.h
@@ -32,6 +32,9 @@
                              const std::vector<Revision>& aDeleteVersions,
                              const std::string& aChangeId) override
   {
+    if (this->beforeWrite) {
+      std::exchange(this->beforeWrite, nullptr)();
+    }
     const std::lock_guard lock(this->mutex);
     this->changeIds.push_back(aChangeId);
     if (!this->failures.empty()) {
@@ -81,6 +84,8 @@
   bool accepts = true;
   // Changes after an older revision are no longer kept.
   Revision oldestKept = 0;
+  // Runs once before the next write.
+  std::function<void()> beforeWrite;
   // Runs once when somebody next asks for changes.
   std::function<void()> onWait;
   std::vector<std::chrono::milliseconds> waits;
