--- a/src/policy/budget/ledger_take.cc
+++ b/src/policy/budget/ledger_take.cc
@@ -92,9 +92,13 @@
 {
   this->latest = std::max(this->latest, aNow);
   this->counts.lapses += this->borrowed.Expire(this->latest, this->spec.longestUse);
-  const bool tookBack = this->lent.Expire(this->latest);
-  if (tookBack || this->latest >= this->limitsChangeAt) {
-    this->SetLimits(this->latest);
+  // Each change counts from its own moment, so that refills don't depend on how often
+  // the ledger is used.
+  BootTime change = std::min(this->limitsChangeAt, this->lent.NextLapse());
+  while (change <= this->latest) {
+    this->lent.Expire(change);
+    this->SetLimits(change);
+    change = std::min(this->limitsChangeAt, this->lent.NextLapse());
   }
   return this->latest;
 }
--- a/src/policy/budget/lent.cc
+++ b/src/policy/budget/lent.cc
@@ -58,15 +58,11 @@
   return gained;
 }
 
-bool
+void
 LentGrants::Expire(BootTime aNow)
 {
-  if (aNow < this->nextLapse) {
-    return false;
-  }
   std::erase_if(this->grants, [aNow](const Grant& aGrant) { return aGrant.until <= aNow; });
   this->Recount();
-  return true;
 }
 
 TokenThousandths
--- a/src/policy/budget/lent.h
+++ b/src/policy/budget/lent.h
@@ -29,8 +29,8 @@
                            const std::string& aBorrower,
                            TokenThousandths aSpent,
                            TokenThousandths aReturned);
-  // Drops what has lapsed; true when something did.
-  bool Expire(BootTime aNow);
+  // Drops what has lapsed.
+  void Expire(BootTime aNow);
 
   TokenThousandths Outstanding() const;
   // When the next grant lapses; the largest time when none is outstanding.
