Compare header names without copying them

Cause: each header's name was copied into normal form, with an allocation for names longer than 15 letters, and compared with up to 27 others. Names are now compared letter by letter in place, and a path without escapes isn't decoded.

--- a/src/policy/request/header_hygiene.cc
+++ b/src/policy/request/header_hygiene.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 
 namespace plantainhaven {
 
@@ -45,36 +44,66 @@
 };
 
 // Lower case, with '_' as '-': many servers treat the two alike.
-std::string
-Normalised(std::string_view aName)
+char
+Normalised(char aLetter)
 {
-  std::string name(aName);
-  for (char& letter : name) {
-    letter =
-      letter == '_' ? '-' : static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
+  if (aLetter == '_') {
+    return '-';
   }
-  return name;
+  return aLetter >= 'A' && aLetter <= 'Z' ? static_cast<char>(aLetter | 0x20) : aLetter;
+}
+
+// Compares without a copy; `aNormalised` is in normal form.
+bool
+IsName(std::string_view aName, std::string_view aNormalised)
+{
+  return aName.size() == aNormalised.size() &&
+         std::equal(aName.begin(), aName.end(), aNormalised.begin(), [](char aLeft, char aRight) {
+           return Normalised(aLeft) == aRight;
+         });
+}
+
+bool
+HasPrefix(std::string_view aName, std::string_view aNormalised)
+{
+  return IsName(aName.substr(0, aNormalised.size()), aNormalised);
 }
 
 template<typename Names>
 bool
-Contains(const Names& aNames, std::string_view aName)
+IsOneOf(std::string_view aName, const Names& aNormalised)
 {
-  return std::find(aNames.begin(), aNames.end(), aName) != aNames.end();
+  return std::any_of(aNormalised.begin(), aNormalised.end(), [&](std::string_view aOther) {
+    return IsName(aName, aOther);
+  });
 }
 
 bool
 IsHopByHop(std::string_view aName)
 {
-  return Contains(kHopByHop, aName) || aName.starts_with("proxy-");
+  return IsOneOf(aName, kHopByHop) || HasPrefix(aName, "proxy-");
+}
+
+constexpr std::array<bool, 256>
+TokenLetters()
+{
+  std::array<bool, 256> letters{};
+  for (const char mark : std::string_view("!#$%&'*+-.^_`|~0123456789")) {
+    letters[static_cast<unsigned char>(mark)] = true;
+  }
+  for (char letter = 'a'; letter <= 'z'; ++letter) {
+    letters[static_cast<unsigned char>(letter)] = true;
+    letters[static_cast<unsigned char>(letter - 'a' + 'A')] = true;
+  }
+  return letters;
 }
 
 bool
 IsToken(std::string_view aName)
 {
-  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
-  return !aName.empty() && std::all_of(aName.begin(), aName.end(), [&](unsigned char aLetter) {
-    return std::isalnum(aLetter) != 0 || kMarks.find(static_cast<char>(aLetter)) != kMarks.npos;
+  static constexpr std::array<bool, 256> kLetters = TokenLetters();
+  return !aName.empty() && std::all_of(aName.begin(), aName.end(), [](unsigned char aLetter) {
+    return kLetters[aLetter];
   });
 }
 
@@ -104,13 +133,16 @@
 {
   std::vector<std::string> names;
   for (const HttpHeader& header : aHeaders) {
-    if (Normalised(header.name) != "connection") {
+    if (!IsName(header.name, "connection")) {
       continue;
     }
     std::string_view rest = header.value;
     while (!rest.empty()) {
       const std::size_t comma = rest.find(',');
-      names.push_back(Normalised(Trimmed(rest.substr(0, comma))));
+      std::string name(Trimmed(rest.substr(0, comma)));
+      std::transform(
+        name.begin(), name.end(), name.begin(), [](char aLetter) { return Normalised(aLetter); });
+      names.push_back(std::move(name));
       rest = comma == rest.npos ? std::string_view() : rest.substr(comma + 1);
     }
   }
@@ -130,7 +162,7 @@
 {
   const HttpHeader* found = nullptr;
   for (const HttpHeader& header : aHeaders) {
-    if (Normalised(Trimmed(header.name)) != "authorization") {
+    if (!IsName(Trimmed(header.name), "authorization")) {
       continue;
     }
     if (found != nullptr) {
@@ -146,7 +178,7 @@
   const std::size_t blank = value.find(' ');
   const std::string_view key = blank == value.npos ? "" : Trimmed(value.substr(blank));
   const bool isKey = !key.empty() && key.find_first_of(" \t,") == key.npos;
-  if (Normalised(value.substr(0, blank)) != kScheme || !isKey) {
+  if (!IsName(value.substr(0, blank), kScheme) || !isKey) {
     return Invalid("The Authorization header isn't of the form Bearer KEY.",
                    "Send Authorization: Bearer KEY.");
   }
@@ -163,10 +195,10 @@
     if (!IsToken(header.name) || !IsFieldValue(header.value)) {
       return Invalid("A header has a malformed name or value.", "Send well-formed headers.");
     }
-    const std::string name = Normalised(header.name);
-    const bool dropped = name == "authorization" || name.starts_with(kModulePrefix) ||
-                         IsHopByHop(name) || Contains(kAccountNames, name) ||
-                         Contains(connectionNames, name);
+    const bool dropped = IsName(header.name, "authorization") ||
+                         HasPrefix(header.name, kModulePrefix) || IsHopByHop(header.name) ||
+                         IsOneOf(header.name, kAccountNames) ||
+                         IsOneOf(header.name, connectionNames);
     if (!dropped) {
       kept.push_back(header);
     }
@@ -185,8 +217,8 @@
   const std::vector<std::string> connectionNames = NamedByConnection(aHeaders);
   std::vector<HttpHeader> kept;
   for (const HttpHeader& header : aHeaders) {
-    const std::string name = Normalised(header.name);
-    if (!IsHopByHop(name) && !name.starts_with(kModulePrefix) && !Contains(connectionNames, name)) {
+    if (!IsHopByHop(header.name) && !HasPrefix(header.name, kModulePrefix) &&
+        !IsOneOf(header.name, connectionNames)) {
       kept.push_back(header);
     }
   }
--- a/src/policy/request/key_scan.cc
+++ b/src/policy/request/key_scan.cc
@@ -33,6 +33,10 @@
 PercentDecoded(std::string_view aText)
 {
   Decoded decoded;
+  if (aText.find('%') == aText.npos) {
+    decoded.text = aText;
+    return decoded;
+  }
   for (std::size_t i = 0; i < aText.size(); ++i) {
     if (aText[i] != '%') {
       decoded.text += aText[i];
