--- a/src/policy/lookup/lookup_table.cc
+++ b/src/policy/lookup/lookup_table.cc
@@ -194,7 +194,7 @@
   bytes += this->impl->starts.capacity() * sizeof(std::uint32_t);
   bytes += this->impl->regions.capacity() * sizeof(RegionNumber);
   for (const std::string& name : this->impl->names) {
-    bytes += sizeof(name) + name.capacity();
+    bytes += sizeof(std::string) + name.capacity();
   }
   return bytes;
 }
--- a/src/programs/plantain-lookupd/view_thread.cc
+++ b/src/programs/plantain-lookupd/view_thread.cc
@@ -15,7 +15,8 @@
 // A restarted plantain-controld is noticed after the shortest wait. The wait doubles
 // after each missing answer, so that a whole configuration has time to arrive.
 constexpr milliseconds kShortestAskTimeout{ 250 };
-constexpr milliseconds kLongestAskTimeout{ 4000 };
+constexpr milliseconds kLongestAskTimeout{ 1000 };
+constexpr milliseconds kLongestWholeAskTimeout{ 4000 };
 
 bool
 ChangesBlocks(const ViewChange& aChange)
@@ -102,7 +103,9 @@
           { "remedy", "check that plantain-controld of this VM runs" } });
   }
   this->answering = false;
-  this->askTimeout = std::min(2 * this->askTimeout, kLongestAskTimeout);
+  const bool asksForWhole = this->follower.MakeAsk().applied_revision() == 0;
+  const milliseconds longest = asksForWhole ? kLongestWholeAskTimeout : kLongestAskTimeout;
+  this->askTimeout = std::min(2 * this->askTimeout, longest);
 }
 
 void
--- a/test/fleet/local_link_test.cc
+++ b/test/fleet/local_link_test.cc
@@ -144,7 +144,7 @@
   CHECK(client.Ask(AskAfter(2), kAskTimeout));
 }
 
-TEST_CASE("LocalClient: a connection that was lost track of is replaced after one ask")
+TEST_CASE("LocalClient: a half-open connection is replaced after one ask")
 {
   const std::uint16_t port = FreePort();
   const ServingThread server(port);
--- a/test/fleet/peer_link_test.cc
+++ b/test/fleet/peer_link_test.cc
@@ -226,7 +226,7 @@
   CHECK(received->ask_id() == 2);
 }
 
-TEST_CASE("ZmqPeerLink: a connection that was lost track of is replaced by Reset")
+TEST_CASE("ZmqPeerLink: a half-open connection is replaced by Reset")
 {
   const std::uint16_t port = FreePort();
   ZmqPeerLink receiver;
--- a/test/fleet/relay.h
+++ b/test/fleet/relay.h
@@ -12,7 +12,7 @@
 namespace plantainhaven {
 
 // Passes TCP connections on to another port of loopback. Silence() plays a middlebox
-// that has lost track of the connections open at that moment: they stay open and
+// that drops its state of the connections open at that moment: they stay half-open and
 // carry nothing any more, while new ones work.
 class Relay
 {
