Test fresh views by random schedules and by tables of cases

The driver runs 3 to 9 VMs with drifting clocks against loss, delay, duplication, pauses, restarts, store outages, splits and member changes, several at a time. After each event: no view is fresh for longer than T after the next revision was accepted, nothing uncommitted is known, nothing goes down; after healing all are fresh at the accepted head within 12 s.

The first run of the changed driver found that nobody asked the voters of an older list when the newest list is empty; such a VM now asks all of them.

--- a/src/policy/view/fleet_view.cc
+++ b/src/policy/view/fleet_view.cc
@@ -67,6 +67,12 @@
   this->impl->health.OnVmList(aList);
 }
 
+void
+FleetView::SetServing(bool aServing)
+{
+  this->impl->serving = aServing;
+}
+
 void
 FleetView::OnLeaving(BootTime aNow)
 {
--- a/src/policy/view/fleet_view_impl.cc
+++ b/src/policy/view/fleet_view_impl.cc
@@ -156,7 +156,9 @@
 {
   if (!this->roster.SelfVotes() && !IsWritePending()) {
     const std::string next = this->roster.NextVoterToAsk();
-    return next.empty() ? std::vector<std::string>() : std::vector<std::string>{ next };
+    if (!next.empty()) {
+      return { next };
+    }
   }
   std::vector<std::string> voters = this->acceptance.AllVoters();
   std::erase(voters, this->options.self);
@@ -189,7 +191,7 @@
     HeadAsk& ask = *message.mutable_head_ask();
     ask.set_applied_revision(this->applied);
     ask.set_accepted_revision(this->acceptance.Accepted());
-    ask.set_fresh(aNow < FreshUntil());
+    ask.set_fresh(this->serving && aNow < FreshUntil());
     ask.set_leaving(this->leaving);
     this->health.OnAsked(name, endpoint, aNow);
     outgoing.push_back({ endpoint, std::move(message) });
--- a/src/policy/view/fleet_view_impl.h
+++ b/src/policy/view/fleet_view_impl.h
@@ -48,6 +48,7 @@
   Revision written = 0;
   BootTime writtenAt{};
   bool leaving = false;
+  bool serving = true;
   BootTime lastEvent;
   BootTime nextAsk;
 };
--- /dev/null
+++ b/test/policy/view/fleet_view_test.cc
@@ -0,0 +1,320 @@
+#include "plantainhaven/policy/view/fleet_view.h"
+
+#include "policy/view/limits.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace plantainhaven {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Nanoseconds kFreshness = 3s;
+constexpr Nanoseconds kFreshFor = kFreshness - kFreshness / kClockDriftDivisor;
+
+BootTime
+At(Nanoseconds aTime)
+{
+  return BootTime(1000s + aTime);
+}
+
+std::vector<FleetMember>
+MembersNamed(const std::vector<std::string>& aNames)
+{
+  std::vector<FleetMember> members;
+  for (const std::string& name : aNames) {
+    members.push_back({ name, name, "domain", 0, false });
+  }
+  return members;
+}
+
+// Views that all begin at revision 0 with every one of them as a member.
+class Fleet
+{
+public:
+  explicit Fleet(std::vector<std::string> aNames)
+    : members(MembersNamed(aNames))
+  {
+    for (const std::string& name : aNames) {
+      Start(name, 1, At(0s));
+    }
+  }
+
+  FleetView& Start(const std::string& aName, std::uint64_t aIncarnation, BootTime aNow)
+  {
+    FleetViewOptions options;
+    options.self = options.endpoint = aName;
+    options.incarnation = aIncarnation;
+    this->views[aName] = std::make_unique<FleetView>(options, aNow);
+    this->views[aName]->OnBase(0, this->members, aNow);
+    return *this->views[aName];
+  }
+
+  FleetView& operator[](const std::string& aName) { return *this->views.at(aName); }
+
+  // Every view reads the table, so that each votes.
+  void ReadTable(Revision aHead, BootTime aNow)
+  {
+    for (auto& [name, view] : this->views) {
+      view->OnTableHead(aHead, aNow, aNow);
+    }
+  }
+
+  // `aFrom` asks; only those of `aReached` get the ask, and answer at once.
+  void Ask(const std::string& aFrom, const std::vector<std::string>& aReached, BootTime aNow)
+  {
+    for (const OutgoingEnvelope& ask : this->views.at(aFrom)->OnTick(aNow)) {
+      if (std::find(aReached.begin(), aReached.end(), ask.endpoint) == aReached.end()) {
+        continue;
+      }
+      for (const auto& answer : this->views.at(ask.endpoint)->OnMessage(ask.message, aNow)) {
+        this->views.at(aFrom)->OnMessage(answer.message, aNow);
+      }
+    }
+  }
+
+  std::vector<FleetMember> members;
+
+private:
+  std::map<std::string, std::unique_ptr<FleetView>> views;
+};
+
+TEST_CASE("An answer that isn't one to a present ask changes nothing", "[view]")
+{
+  struct Case
+  {
+    const char* name;
+    void (*distort)(Envelope&);
+    bool counts;
+  };
+  const auto distortion = GENERATE(values<Case>(
+    { { "true answer", [](Envelope&) {}, true },
+      { "another ask", [](Envelope& aM) { aM.set_ask_id(aM.ask_id() + 7); }, false },
+      { "another voter", [](Envelope& aM) { aM.set_from("c"); }, false },
+      { "for another VM", [](Envelope& aM) { aM.set_to("c"); }, false },
+      { "voter's older process", [](Envelope& aM) { aM.set_from_incarnation(0); }, false },
+      { "asker's older process",
+        [](Envelope& aM) { aM.mutable_head_answer()->set_asker_incarnation(0); },
+        false },
+      { "recovering voter",
+        [](Envelope& aM) {
+          aM.mutable_head_answer()->set_voting(false);
+          aM.mutable_head_answer()->set_has_evidence(false);
+        },
+        false },
+      { "negative age",
+        [](Envelope& aM) {
+          aM.mutable_head_answer()->set_voting(false);
+          aM.mutable_head_answer()->set_evidence_age_us(-1);
+        },
+        false },
+      { "an unknown body", [](Envelope& aM) { aM.clear_head_answer(); }, false } }));
+  INFO(distortion.name);
+  Fleet fleet({ "a", "b", "c" });
+  fleet.ReadTable(0, At(0s));
+  fleet.Ask("a", { "b" }, At(100ms));
+  for (const OutgoingEnvelope& ask : fleet["a"].OnTick(At(1s))) {
+    if (ask.endpoint == "b") {
+      Envelope answer = fleet["b"].OnMessage(ask.message, At(1s)).at(0).message;
+      distortion.distort(answer);
+      fleet["a"].OnMessage(answer, At(1s));
+    }
+  }
+  CHECK((fleet["a"].FreshUntil() == At(1s) + kFreshFor) == distortion.counts);
+}
+
+TEST_CASE("A VM that is no voter is fresh by what one voter passes on, less its age", "[view]")
+{
+  Fleet fleet({ "a", "b", "c" });
+  FleetViewOptions options;
+  options.self = options.endpoint = "observer";
+  FleetView observer(options, At(0s));
+  observer.OnBase(0, fleet.members, At(0s));
+  fleet.ReadTable(0, At(0s));
+  const std::vector<OutgoingEnvelope> asks = observer.OnTick(At(2s));
+  REQUIRE(asks.size() == 1);
+  const auto answers = fleet[asks[0].endpoint].OnMessage(asks[0].message, At(2500ms));
+  observer.OnMessage(answers.at(0).message, At(2600ms));
+  // Asked at 2 s; the voter's own evidence was 2.5 s old by its clock, which may drift.
+  const Nanoseconds age = 2502500us + 1us;
+  CHECK(observer.FreshUntil() == At(2s) - age + kFreshFor);
+}
+
+TEST_CASE("A restarted voter votes again after a table read or a majority's later word", "[view]")
+{
+  Fleet fleet({ "a", "b", "c" });
+  fleet.ReadTable(0, At(0s));
+  FleetView& restarted = fleet.Start("a", 2, At(10s));
+  SECTION("a read that was asked before the start is too old")
+  {
+    restarted.OnTableHead(5, At(9s), At(11s));
+    CHECK_FALSE(restarted.Voting());
+    restarted.OnTableHead(5, At(10s), At(11s));
+    CHECK(restarted.Voting());
+  }
+  SECTION("peers are enough while the store is down, after the wait")
+  {
+    fleet.Ask("a", { "b", "c" }, At(10s) + kRecoveryWait - 1ms);
+    CHECK_FALSE(restarted.Voting());
+    fleet.Ask("a", { "b", "c" }, At(11s) + kRecoveryWait);
+    CHECK(restarted.Voting());
+  }
+  SECTION("one peer isn't enough")
+  {
+    fleet.Ask("a", { "b" }, At(20s));
+    CHECK_FALSE(restarted.Voting());
+  }
+}
+
+TEST_CASE("A forgotten acknowledgement doesn't make a revision accepted", "[view]")
+{
+  // b acknowledges revision 1 to the writer a, restarts, and hears from c, d, e that the
+  // head is 0. Then c acknowledges too: with b's word a, b, c were a majority.
+  Fleet fleet({ "a", "b", "c", "d", "e" });
+  fleet.ReadTable(0, At(0s));
+  fleet["a"].OnWritten(1, At(10s));
+  fleet["a"].OnApplied(1, fleet.members, At(10s));
+  fleet["b"].OnCommitted(1, At(10s));
+  fleet.Ask("a", { "b" }, At(10s));
+  fleet.Start("b", 2, At(10100ms));
+  const Nanoseconds later = GENERATE(values<Nanoseconds>({ 200ms, 2700ms }));
+  CAPTURE(later.count());
+  fleet.Ask("b", { "c", "d", "e" }, At(10s) + later);
+  fleet["c"].OnCommitted(1, At(10s) + later);
+  fleet.Ask("a", { "c" }, At(10s) + later);
+  fleet.Ask("d", { "b", "e" }, At(10500ms) + later);
+  const bool dIsFresh = fleet["d"].FreshUntil() == At(10500ms) + later + kFreshFor;
+  const bool accepted = fleet["a"].AcceptedRevision() == 1;
+  CHECK_FALSE((accepted && dIsFresh));
+  CHECK((accepted || dIsFresh));
+}
+
+TEST_CASE("A revision is accepted by a majority of every list since the last accepted one",
+          "[view]")
+{
+  struct Case
+  {
+    std::vector<std::string> newList;
+    std::vector<std::string> acknowledging;
+    std::vector<std::string> missing;
+  };
+  // The writer a, which is in the old list a, b, c, changes the list.
+  const auto change = GENERATE(values<Case>({
+    { { "a", "b", "c" }, { "b" }, {} },
+    { { "a", "b", "c" }, {}, { "b", "c" } },
+    { { "a" }, {}, { "b", "c" } },
+    { { "a" }, { "c" }, {} },
+    { { "d", "e" }, { "d", "e" }, { "b", "c" } },
+    { { "d", "e" }, { "b", "d" }, { "c", "e" } },
+    { { "d", "e" }, { "b", "d", "e" }, {} },
+  }));
+  CAPTURE(change.newList, change.acknowledging);
+  Fleet fleet({ "a", "b", "c" });
+  for (const std::string name : { "d", "e" }) {
+    fleet.Start(name, 1, At(0s));
+  }
+  fleet.ReadTable(0, At(0s));
+  fleet["a"].OnWritten(1, At(1s));
+  fleet["a"].OnApplied(1, MembersNamed(change.newList), At(1s));
+  for (const std::string& name : change.acknowledging) {
+    fleet[name].OnCommitted(1, At(1s));
+  }
+  fleet.Ask("a", change.acknowledging, At(1s));
+  CHECK(fleet["a"].AcceptedRevision() == (change.missing.empty() ? 1 : 0));
+  CHECK(fleet["a"].MissingVoters(1) == change.missing);
+}
+
+TEST_CASE("A member is dead when silent and leaving, unlisted or never listed", "[view]")
+{
+  struct Case
+  {
+    const char* name;
+    std::vector<std::string> firstList;
+    std::vector<std::string> secondList;
+    bool leaving;
+    Nanoseconds silence;
+    bool dead;
+  };
+  const auto row = GENERATE(values<Case>({
+    { "listed, perhaps paused", { "b" }, { "b" }, false, 100s, false },
+    { "listed as leaving", { "b" }, { "b" }, true, 5s, true },
+    { "leaving, not silent for long", { "b" }, { "b" }, true, 4900ms, false },
+    { "no longer listed", { "b" }, {}, false, 5s, true },
+    { "never listed", {}, {}, false, 59s, false },
+    { "never listed for long", {}, {}, false, 60s, true },
+  }));
+  INFO(row.name);
+  Fleet fleet({ "a", "b" });
+  for (const auto* names : { &row.firstList, &row.secondList }) {
+    VmListAnswer list;
+    list.add_vms()->set_name("a");
+    for (const std::string& name : *names) {
+      list.add_vms()->set_name(name);
+      list.mutable_vms()->rbegin()->set_leaving(row.leaving);
+    }
+    fleet["a"].OnVmList(list, At(0s));
+  }
+  for (Nanoseconds time = 0s; time <= row.silence; time += 100ms) {
+    fleet["a"].OnTick(At(time));
+  }
+  const std::vector<std::string> expected =
+    row.dead ? std::vector<std::string>{ "b" } : std::vector<std::string>{};
+  CHECK(fleet["a"].DeadMembers(At(row.silence)) == expected);
+}
+
+TEST_CASE("A process that was paused doesn't take its own silence for that of others", "[view]")
+{
+  Fleet fleet({ "a", "b" });
+  VmListAnswer list;
+  fleet["a"].OnVmList(list, At(0s));
+  fleet["a"].OnTick(At(100s));
+  CHECK(fleet["a"].DeadMembers(At(100s)).empty());
+  CHECK(fleet["a"].SilentEndpoints(At(100s)).empty());
+}
+
+TEST_CASE("A silent connection is named once for each silence", "[view]")
+{
+  Fleet fleet({ "a", "b", "c" });
+  std::vector<std::string> named;
+  for (Nanoseconds time = 0s; time < 2400ms; time += 50ms) {
+    fleet.Ask("a", { "c" }, At(time));
+    for (const std::string& endpoint : fleet["a"].SilentEndpoints(At(time))) {
+      named.push_back(endpoint);
+    }
+  }
+  CHECK(named == std::vector<std::string>{ "b", "b" });
+}
+
+TEST_CASE("Voters are all members of a small fleet and one per failure domain of a large", "[view]")
+{
+  struct Case
+  {
+    std::size_t members;
+    std::size_t domains;
+    std::size_t voters;
+  };
+  const auto row = GENERATE(
+    values<Case>({ { 0, 1, 0 }, { 11, 6, 11 }, { 15, 6, 15 }, { 16, 6, 6 }, { 740, 23, 23 } }));
+  CAPTURE(row.members);
+  std::vector<FleetMember> members;
+  for (std::size_t i = 0; i < row.members; ++i) {
+    const std::string name = "vm-" + std::to_string(i);
+    members.push_back({ name, name, "domain-" + std::to_string(i % row.domains), 0, i % 3 == 0 });
+  }
+  const std::vector<std::string> voters = VotersOf(members);
+  CHECK(voters.size() == row.voters);
+  std::reverse(members.begin(), members.end());
+  CHECK(VotersOf(members) == voters);
+}
+
+} // namespace
+
+} // namespace plantainhaven
--- a/test/policy/view/schedule.h
+++ b/test/policy/view/schedule.h
@@ -25,6 +25,8 @@
   Revision applied = 0;
   Nanoseconds offset{ 0 };
   std::int64_t driftPpm = 0;
+  Nanoseconds readInterval{ 0 };
+  bool listed = true;
   bool paused = false;
   int side = 0;
   std::vector<std::function<void(ScheduledVm&)>> inbox;
@@ -41,21 +43,18 @@
   explicit Schedule(std::uint64_t aSeed)
     : random(aSeed)
     , vms(static_cast<std::size_t>(3 + Draw(7)))
-    , lists(1)
   {
-    for (std::size_t i = 0; i < this->vms.size(); ++i) {
-      ScheduledVm& vm = this->vms[i];
-      vm.name = std::to_string(i);
+    for (ScheduledVm& vm : this->vms) {
+      vm.name = std::to_string(&vm - this->vms.data());
       vm.offset = 1s * (1 + Draw(1000));
       vm.driftPpm = Draw(801) - 400;
-      if (Chance(700)) {
-        this->lists[0].push_back({ vm.name, vm.name, "domain", 0, false });
-      }
+      vm.readInterval = Chance(500) ? 500ms : 6s;
     }
-    for (std::size_t i = 0; i < this->vms.size(); ++i) {
-      Start(i);
-      At(1ms * Draw(50), [this, i] { Tick(i); });
-      At(1ms * Draw(500), [this, i] { ReadTable(i); });
+    this->lists.push_back(NextMembers());
+    for (ScheduledVm& vm : this->vms) {
+      Start(vm);
+      this->events.emplace(1ms * Draw(50), [this, &vm] { Tick(vm); });
+      this->events.emplace(1ms * Draw(500), [this, &vm] { ReadTable(vm); });
     }
   }
 
@@ -67,10 +66,8 @@
       if (aFaults && Chance(60)) {
         Fault();
       }
-      while (!this->events.empty() && this->events.begin()->first <= this->now) {
-        const auto event = std::move(this->events.begin()->second);
-        this->events.erase(this->events.begin());
-        event();
+      while (this->events.begin()->first <= this->now) {
+        this->events.extract(this->events.begin()).mapped()();
         if (!aCheck()) {
           return;
         }
@@ -80,10 +77,14 @@
 
   void Heal()
   {
-    this->storeDown = this->storeSlow = this->split = false;
+    this->storeDown = false;
+    this->storeDelay = 0ms;
     this->lossPerMille = 0;
     for (ScheduledVm& vm : this->vms) {
-      Wake(vm);
+      vm.readInterval = 500ms;
+      vm.side = 0;
+      vm.paused = false;
+      TakeInbox(vm);
     }
   }
 
@@ -94,59 +95,44 @@
   {
     return BootTime(aVm.offset + this->now + this->now / 1000000 * aVm.driftPpm);
   }
-  // True time until the VM's clock shows `aTime`.
-  Nanoseconds TimeUntil(const ScheduledVm& aVm, BootTime aTime) const
-  {
-    const Nanoseconds ahead = aTime - ClockOf(aVm);
-    return ahead - ahead / 1000000 * aVm.driftPpm;
-  }
 
 private:
   int Draw(int aBelow) { return static_cast<int>(this->random() % static_cast<unsigned>(aBelow)); }
   bool Chance(int aPerMille) { return Draw(1000) < aPerMille; }
   Nanoseconds Delay() { return Chance(30) ? 1ms * Draw(4000) : 1ms * (1 + Draw(40)); }
-  void At(Nanoseconds aTime, std::function<void()> aEvent)
-  {
-    this->events.emplace(aTime, std::move(aEvent));
-  }
-  bool Reaches(const ScheduledVm& aFrom, const ScheduledVm& aTo) const
-  {
-    return !this->split || aFrom.side == aTo.side;
-  }
-  bool ReachesStore(const ScheduledVm& aVm) const
+  bool ReachesStore(const ScheduledVm& aVm) const { return !this->storeDown && aVm.side == 0; }
+
+  // Takes effect after a delay if `aArrives` says so then. A paused process finds what
+  // came when it wakes.
+  void Later(ScheduledVm& aVm, std::function<bool()> aArrives, Effect aEffect)
   {
-    return !this->storeDown && (!this->split || aVm.side == 0);
+    this->events.emplace(this->now + Delay(), [this, &aVm, aArrives, aEffect] {
+      if (aArrives()) {
+        aVm.inbox.push_back(aEffect);
+        TakeInbox(aVm);
+      }
+    });
   }
 
-  // A paused process finds what came meanwhile when it wakes.
-  void Deliver(ScheduledVm& aVm, const Effect& aEffect)
+  void Transmit(const ScheduledVm& aFrom, ScheduledVm& aTo, const Effect& aEffect)
   {
-    if (aVm.paused) {
-      aVm.inbox.push_back(aEffect);
-    } else {
-      aEffect(aVm);
+    const int copies = Chance(this->lossPerMille) ? 0 : Chance(50) ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+      Later(
+        aTo, [&aFrom, &aTo] { return aFrom.side == aTo.side; }, aEffect);
     }
   }
 
-  // The answer to a call of this process; one that was restarted never gets it.
-  void Return(std::size_t aVm, const Effect& aEffect)
+  // A test for whether the process is still the one of now.
+  std::function<bool()> SameProcess(const ScheduledVm& aVm)
   {
-    At(this->now + Delay(), [this, aVm, incarnation = this->vms[aVm].incarnation, aEffect] {
-      if (this->vms[aVm].incarnation == incarnation) {
-        Deliver(this->vms[aVm], aEffect);
-      }
-    });
+    return [&aVm, incarnation = aVm.incarnation] { return aVm.incarnation == incarnation; };
   }
 
-  void Transmit(const ScheduledVm& aFrom, ScheduledVm& aTo, const Effect& aEffect)
+  void TakeInbox(ScheduledVm& aVm)
   {
-    const int copies = Chance(this->lossPerMille) ? 0 : Chance(50) ? 2 : 1;
-    for (int i = 0; i < copies; ++i) {
-      At(this->now + Delay(), [this, &aFrom, &aTo, aEffect] {
-        if (Reaches(aFrom, aTo)) {
-          Deliver(aTo, aEffect);
-        }
-      });
+    for (const Effect& effect : aVm.paused ? std::vector<Effect>() : std::exchange(aVm.inbox, {})) {
+      effect(aVm);
     }
   }
 
@@ -161,119 +147,105 @@
   }
 
   // Starts a new process from a snapshot, which is made of a recent accepted revision.
-  void Start(std::size_t aVm)
-  {
-    ScheduledVm& vm = this->vms[aVm];
-    vm.applied = this->accepted - std::min<Revision>(this->accepted, this->random() % 4);
-    vm.incarnation += 1;
-    vm.paused = false;
-    vm.inbox.clear();
-    FleetViewOptions options;
-    options.self = options.endpoint = vm.name;
-    options.incarnation = vm.incarnation;
-    vm.view = std::make_unique<FleetView>(options, ClockOf(vm));
-    vm.view->OnBase(vm.applied, this->lists[vm.applied], ClockOf(vm));
-  }
-
-  void Wake(ScheduledVm& aVm)
+  void Start(ScheduledVm& aVm)
   {
+    aVm.applied = this->accepted - std::min<Revision>(this->accepted, this->random() % 4);
+    aVm.incarnation += 1;
     aVm.paused = false;
-    for (const Effect& effect : std::exchange(aVm.inbox, {})) {
-      effect(aVm);
-    }
+    aVm.inbox.clear();
+    FleetViewOptions options;
+    options.self = options.endpoint = aVm.name;
+    options.incarnation = aVm.incarnation;
+    aVm.view = std::make_unique<FleetView>(options, ClockOf(aVm));
+    aVm.view->OnBase(aVm.applied, this->lists[aVm.applied], ClockOf(aVm));
   }
 
-  void Tick(std::size_t aVm)
+  void Tick(ScheduledVm& aVm)
   {
-    ScheduledVm& vm = this->vms[aVm];
-    At(this->now + 50ms, [this, aVm] { Tick(aVm); });
-    if (vm.paused) {
+    this->events.emplace(this->now + 50ms, [this, &aVm] { Tick(aVm); });
+    if (aVm.paused) {
       return;
     }
-    Send(vm, vm.view->OnTick(ClockOf(vm)));
-    this->accepted = std::max(this->accepted, vm.view->AcceptedRevision());
+    Send(aVm, aVm.view->OnTick(ClockOf(aVm)));
+    this->accepted = std::max(this->accepted, aVm.view->AcceptedRevision());
     // Changes come from the table or a peer.
-    Revision source = ReachesStore(vm) ? Head() : 0;
+    Revision source = ReachesStore(aVm) ? Head() : 0;
     for (const ScheduledVm& peer : this->vms) {
-      source = Reaches(vm, peer) && !peer.paused ? std::max(source, peer.applied) : source;
+      const bool reached = !peer.paused && peer.side == aVm.side;
+      source = reached ? std::max(source, peer.applied) : source;
     }
-    while (vm.applied < std::min(source, vm.view->KnownHead()) && Chance(500)) {
-      vm.applied += 1;
-      vm.view->OnApplied(vm.applied, this->lists[vm.applied], ClockOf(vm));
+    while (aVm.applied < std::min(source, aVm.view->KnownHead()) && Chance(500)) {
+      aVm.applied += 1;
+      aVm.view->OnApplied(aVm.applied, this->lists[aVm.applied], ClockOf(aVm));
     }
   }
 
-  void ReadTable(std::size_t aVm)
+  void ReadTable(ScheduledVm& aVm)
   {
-    ScheduledVm& vm = this->vms[aVm];
-    At(this->now + 500ms, [this, aVm] { ReadTable(aVm); });
-    const Nanoseconds slow = this->storeSlow ? 1ms * Draw(3000) : 0ms;
-    At(this->now + Delay() + slow,
-       [this, &vm, aVm, askedAt = ClockOf(vm), incarnation = vm.incarnation, lost = vm.paused] {
-         if (lost || vm.incarnation != incarnation || !ReachesStore(vm)) {
-           return;
-         }
-         Return(aVm, [this, askedAt, head = Head()](ScheduledVm& aTo) {
-           aTo.view->OnTableHead(head, askedAt, ClockOf(aTo));
-         });
-       });
+    this->events.emplace(this->now + aVm.readInterval, [this, &aVm] { ReadTable(aVm); });
+    const Nanoseconds slow = this->storeDelay / 1000 * Draw(1000);
+    const auto same = SameProcess(aVm);
+    this->events.emplace(this->now + Delay() + slow, [this, &aVm, same, askedAt = ClockOf(aVm)] {
+      const auto take = [this, askedAt, head = Head()](ScheduledVm& aTo) {
+        aTo.view->OnTableHead(head, askedAt, ClockOf(aTo));
+      };
+      Later(
+        aVm, ReachesStore(aVm) ? same : [] { return false; }, take);
+    });
   }
 
-  void Write(std::size_t aVm)
+  // Now and then the answer is lost after the write took effect.
+  void Write(ScheduledVm& aVm)
   {
-    if (this->vms[aVm].paused || !ReachesStore(this->vms[aVm])) {
+    if (aVm.paused || !ReachesStore(aVm)) {
       return;
     }
     this->lists.push_back(NextMembers());
-    if (Chance(100)) {
-      return; // The answer is lost after the write took effect.
-    }
-    Return(aVm, [this, revision = Head()](ScheduledVm& aWriter) {
-      aWriter.view->OnWritten(revision, ClockOf(aWriter));
-      for (ScheduledVm& to : this->vms) {
-        Transmit(aWriter, to, [this, revision](ScheduledVm& aTo) {
-          aTo.view->OnCommitted(revision, ClockOf(aTo));
-        });
-      }
-    });
+    const bool answered = Chance(900);
+    Later(
+      aVm,
+      answered ? SameProcess(aVm) : [] { return false; },
+      [this, revision = Head()](ScheduledVm& aWriter) {
+        aWriter.view->OnWritten(revision, ClockOf(aWriter));
+        for (ScheduledVm& to : this->vms) {
+          Transmit(aWriter, to, [this, revision](ScheduledVm& aTo) {
+            aTo.view->OnCommitted(revision, ClockOf(aTo));
+          });
+        }
+      });
   }
 
   // Half of the writes leave the members alone; others toggle one or draw all anew.
   std::vector<FleetMember> NextMembers()
   {
-    const std::vector<FleetMember>& members = this->lists.back();
     const int kind = Draw(10);
-    const std::size_t toggled = this->random() % this->vms.size();
+    ScheduledVm& toggled = this->vms[this->random() % this->vms.size()];
+    toggled.listed = toggled.listed != (kind >= 5 && kind < 8);
     std::vector<FleetMember> next;
-    for (std::size_t i = 0; i < this->vms.size(); ++i) {
-      const std::string& name = this->vms[i].name;
-      const auto isNamed = [&name](const FleetMember& aMember) { return aMember.name == name; };
-      const bool listed = std::any_of(members.begin(), members.end(), isNamed);
-      if (kind < 8 ? listed != (kind >= 5 && i == toggled) : Chance(600)) {
-        next.push_back({ name, name, "domain", 0, false });
+    for (ScheduledVm& vm : this->vms) {
+      vm.listed = kind < 8 ? vm.listed : Chance(600);
+      if (vm.listed) {
+        next.push_back({ vm.name, vm.name, "domain", 0, false });
       }
     }
-    return next.empty() ? members : next;
+    return next;
   }
 
   void Fault()
   {
-    const std::size_t which = this->random() % this->vms.size();
-    const std::vector<std::function<void()>> faults = {
-      [&] { Write(which); },
-      [&] { Write(which); },
-      [&] { Start(which); },
-      [&] { this->vms[which].paused = true; },
-      [&] { Wake(this->vms[which]); },
-      [&] { this->storeDown = Chance(700); },
-      [&] { this->storeSlow = Chance(500); },
+    ScheduledVm& vm = this->vms[this->random() % this->vms.size()];
+    const std::vector<std::function<void()>> kinds = {
+      [&] { Write(vm); },
+      [&] { Write(vm); },
+      [&] { Start(vm); },
+      [&] { vm.paused = !vm.paused; },
+      [&] { this->storeDown = Chance(600); },
+      [&] { this->storeDelay = 1s * Draw(4); },
       [&] { this->lossPerMille = Draw(3) * 150; },
-      [&] {
-        this->split = Chance(600);
-        std::for_each(this->vms.begin(), this->vms.end(), [&](auto& aVm) { aVm.side = Draw(2); });
-      },
+      [&] { vm.side = 1 - vm.side; },
     };
-    faults[this->random() % faults.size()]();
+    kinds[this->random() % kinds.size()]();
+    TakeInbox(vm);
   }
 
   std::mt19937_64 random;
@@ -285,8 +257,7 @@
   // Highest revision that any VM knew to be accepted.
   Revision accepted = 0;
   bool storeDown = false;
-  bool storeSlow = false;
-  bool split = false;
+  Nanoseconds storeDelay{ 0 };
   int lossPerMille = 0;
 };
 
--- a/test/policy/view/schedule_test.cc
+++ b/test/policy/view/schedule_test.cc
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::uint64_t kDefaultSeeds = 300;
+constexpr std::uint64_t kDefaultSeeds = 500;
 constexpr Nanoseconds kFreshness = 3s;
 constexpr Nanoseconds kFaultTime = 25s;
 constexpr Nanoseconds kHealTime = 12s;
@@ -108,7 +108,9 @@
       return;
     }
     const Nanoseconds since = this->schedule.Now() - this->acceptedAt[next];
-    const Nanoseconds late = since + this->schedule.TimeUntil(aVm, freshUntil) - kFreshness;
+    const Nanoseconds ahead = freshUntil - this->schedule.ClockOf(aVm);
+    const Nanoseconds left = ahead - ahead / 1000000 * aVm.driftPpm;
+    const Nanoseconds late = since + left - kFreshness;
     if (late > 0ns) {
       Fail(aVm,
            "fresh " + std::to_string(late / 1us) + " us longer than T after " +
