--- a/src/platform/connection_pool.cc
+++ b/src/platform/connection_pool.cc
@@ -22,17 +22,14 @@
 ConnectionPool::Take(BootTime aNow)
 {
   const std::lock_guard lock(this->mutex);
-  while (!this->idle.empty()) {
+  if (!this->idle.empty() && aNow - this->idle.back().since > kLongestIdle) {
+    // All others have been idle for longer.
+    this->idle.clear();
+  }
+  if (!this->idle.empty()) {
     Idle newest = std::move(this->idle.back());
     this->idle.pop_back();
-    if (aNow - newest.since > kLongestIdle) {
-      // All others have been idle for longer.
-      this->idle.clear();
-      break;
-    }
-    if (newest.connection->IsOpen()) {
-      return std::move(newest.connection);
-    }
+    return std::move(newest.connection);
   }
   return this->MakeNew();
 }
--- a/src/platform/connection_pool.h
+++ b/src/platform/connection_pool.h
@@ -11,8 +11,8 @@
 namespace plantainhaven {
 
 // Connections to one server that wait for their next exchange. A connection that
-// was idle for long, or that the server has closed, is never handed out. Safe for
-// several threads.
+// was idle for long is never handed out; one that the server has closed opens anew
+// at its next exchange. Safe for several threads.
 class ConnectionPool
 {
 public:
