--- a/test/policy/budget/skew_test.cc
+++ b/test/policy/budget/skew_test.cc
@@ -249,8 +249,33 @@
   return summary;
 }
 
+// The most that may be refused wrongfully, in %, with the default floor.
+struct SkewBound
+{
+  std::size_t delay;
+  std::size_t kind;
+  double all;
+  double worst;
+};
+
 } // namespace
 
+TEST_CASE("Skewed demand is served about as well as by one bucket for the fleet")
+{
+  const std::array bounds{
+    SkewBound{ 0, 0, 0.1, 2 },  SkewBound{ 0, 1, 0.1, 2 },  SkewBound{ 0, 2, 0.5, 15 },
+    SkewBound{ 1, 0, 1.0, 12 }, SkewBound{ 1, 1, 0.5, 15 }, SkewBound{ 1, 2, 1.0, 25 },
+  };
+  for (const SkewBound& bound : bounds) {
+    const SkewCase& kind = kCases[bound.kind];
+    const DelayCase& delay = kDelays[bound.delay];
+    const SkewSummary summary = RunAll(kind, delay, kDefaultFloor);
+    CAPTURE(delay.name, kind.name, summary.worstAccount);
+    CHECK(summary.sum.Wrongful() <= bound.all);
+    CHECK(summary.worst <= bound.worst);
+  }
+}
+
 TEST_CASE("Floor fractions against skewed demand", "[.experiment]")
 {
   std::printf(
