Let requests wait longer for tokens, but only a bounded number of them

A longer wait alone would let an account far above its rate hold every thread.

Requests that the HTTP server refuses by itself count as reason "overload".

Broken once: with no bound on the waits the new test saw more than 5 of 20 requests wait.

--- a/include/plantainhaven/entry/request_handler.h
+++ b/include/plantainhaven/entry/request_handler.h
@@ -10,6 +10,7 @@
 #include "plantainhaven/http/message.h"
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -20,10 +21,14 @@
   std::string vm;
   std::string ownRegion;
   // Longest wait of a request for a token of a budget.
-  std::chrono::nanoseconds budgetWait{ std::chrono::milliseconds(50) };
+  std::chrono::nanoseconds budgetWait{ std::chrono::milliseconds(250) };
+  // Requests that may wait for tokens at once.
+  std::size_t mostWaiting = 32;
   // Longest wait for an answer over a kept connection before an idempotent request is
   // sent over a new one, beyond four times the server's usual time.
   std::chrono::nanoseconds silenceWait{ std::chrono::milliseconds(300) };
+  // Called before the metrics are written, to bring gauges up to date.
+  std::function<void()> onMetrics = {};
 };
 
 // What the handler works with; all of it outlives the handler.
--- a/include/plantainhaven/policy/request/refusal.h
+++ b/include/plantainhaven/policy/request/refusal.h
@@ -30,6 +30,7 @@
   kClaimStore,
   kClaimMismatch,
   kDeadline,
+  kOverload,
   // The request may have run.
   kOutcomeUnknown,
   kServerTimeout,
--- a/src/entry/attempts.cc
+++ b/src/entry/attempts.cc
@@ -125,7 +125,7 @@
   LedgerId id = RegionSlotsBudget(this->service->name, aRegion, 0, {}).id;
   const std::chrono::nanoseconds wait =
     aLast ? std::min(this->options.budgetWait, this->TimeLeft() / 4) : std::chrono::nanoseconds(0);
-  const TakeResult taken = this->services.budgets.Take(id, kOneToken, wait);
+  const TakeResult taken = this->waits.Take(id, wait);
   if (!taken.Taken()) {
     this->retryAfter = taken.retryAfter;
     return taken.refusal == TakeRefusal::kStaleView ? RefusalReason::kStaleView
--- a/src/entry/entry_program.cc
+++ b/src/entry/entry_program.cc
@@ -12,6 +12,8 @@
 #include "plantainhaven/platform/http_platform.h"
 
 #include <algorithm>
+#include <functional>
+#include <mutex>
 #include <random>
 #include <thread>
 
@@ -62,7 +64,7 @@
   options.max_body = aSettings.entry().max_body();
   options.read_timeout = ToMilliseconds(aSettings.entry().read_timeout());
   options.keep_alive = options.read_timeout;
-  options.refusal_headers = NotRunHeaders("overload");
+  options.refusal_headers = NotRunHeaders(std::string(RuleOf(RefusalReason::kOverload).name));
   return options;
 }
 
@@ -87,12 +89,14 @@
 }
 
 RequestHandlerOptions
-HandlerOptionsOf(const EntrydSettings& aSettings)
+HandlerOptionsOf(const EntrydSettings& aSettings, std::function<void()> aOnMetrics)
 {
   RequestHandlerOptions options;
   options.vm = aSettings.vm().name();
   options.ownRegion = aSettings.vm().region();
+  options.onMetrics = std::move(aOnMetrics);
   options.silenceWait = ToMilliseconds(aSettings.entry().connect_timeout());
+  options.mostWaiting = std::max<std::size_t>(1, aSettings.entry().threads() / 4);
   return options;
 }
 
@@ -109,7 +113,7 @@
     , pool(PoolOptionsOf(aSettings), this->gate)
     , links(aSettings.vm().region(), this->gate)
     , claims(this->platform, aSettings.vm().name())
-    , handler(HandlerOptionsOf(aSettings),
+    , handler(HandlerOptionsOf(aSettings, [this] { this->CountOverload(); }),
               { this->view,
                 this->steering,
                 this->pool,
@@ -155,7 +159,21 @@
             },
              [this](const BudgetView& aView, BootTime aNow) {
                this->budgets.UpdateView(aView, aNow);
-             } };
+             },
+             [this](BootTime aNow) { return this->budgets.Established(aNow); } };
+  }
+
+  // The server refuses by itself what it has no thread for; the metrics count it with
+  // the other refusals.
+  void CountOverload()
+  {
+    const std::lock_guard<std::mutex> lock(this->overloadMutex);
+    const std::uint64_t refused = this->server.RefusedConnections();
+    this->metrics.Count("plantainhaven_refusals_total",
+                        "reason",
+                        RuleOf(RefusalReason::kOverload).name,
+                        refused - this->countedOverload);
+    this->countedOverload = refused;
   }
 
   int StopGracefully()
@@ -175,6 +193,8 @@
   }
 
   const EntrydSettings& settings;
+  std::mutex overloadMutex;
+  std::uint64_t countedOverload = 0;
   Metrics metrics;
   ViewState view;
   HttpPlatform platform;
--- a/src/entry/request_handler.cc
+++ b/src/entry/request_handler.cc
@@ -18,11 +18,18 @@
 
 struct RequestHandler::Impl
 {
+  Impl(RequestHandlerOptions aOptions, RequestServices aServices)
+    : options(std::move(aOptions))
+    , services(aServices)
+  {
+  }
+
   HttpResponse OwnPath(const HttpRequest& aRequest) const;
   std::string NextRequestId();
 
   RequestHandlerOptions options;
   RequestServices services;
+  BudgetWaits waits{ { this->options.mostWaiting }, this->services.budgets };
   // Makes request ids unique over processes.
   std::string idPrefix = RandomId();
   std::atomic<std::uint64_t> lastId{ 0 };
@@ -40,6 +47,9 @@
   HttpResponse response;
   response.headers.Add("Content-Type", "text/plain; charset=utf-8");
   if (aRequest.path == kMetricsPath) {
+    if (this->options.onMetrics) {
+      this->options.onMetrics();
+    }
     response.body = this->services.metrics.Text();
     return response;
   }
@@ -55,7 +65,7 @@
 }
 
 RequestHandler::RequestHandler(RequestHandlerOptions aOptions, RequestServices aServices)
-  : impl(new Impl{ std::move(aOptions), aServices })
+  : impl(std::make_unique<Impl>(std::move(aOptions), aServices))
 {
 }
 
@@ -70,7 +80,11 @@
   Metrics& metrics = this->impl->services.metrics;
   metrics.Count("plantainhaven_requests_total");
   const BootTime begun = BootClock::Now();
-  RequestRun run(this->impl->options, this->impl->services, aRequest, this->impl->NextRequestId());
+  RequestRun run(this->impl->options,
+                 this->impl->services,
+                 this->impl->waits,
+                 aRequest,
+                 this->impl->NextRequestId());
   HttpResponse response = run.Run();
   metrics.Observe("plantainhaven_request_seconds", BootClock::Now() - begun);
   return response;
--- a/src/entry/request_run.cc
+++ b/src/entry/request_run.cc
@@ -33,10 +33,12 @@
 
 RequestRun::RequestRun(const RequestHandlerOptions& aOptions,
                        const RequestServices& aServices,
+                       BudgetWaits& aWaits,
                        const HttpRequest& aRequest,
                        std::string aRequestId)
   : options(aOptions)
   , services(aServices)
+  , waits(aWaits)
   , request(aRequest)
   , requestId(std::move(aRequestId))
   , arrivedAt(BootClock::Now())
@@ -161,8 +163,7 @@
     return std::nullopt;
   }
   const std::chrono::nanoseconds wait = std::min(this->options.budgetWait, this->TimeLeft() / 4);
-  const TakeResult taken =
-    this->services.budgets.Take({ BudgetId::ACCOUNT_RATE, this->account }, kOneToken, wait);
+  const TakeResult taken = this->waits.Take({ BudgetId::ACCOUNT_RATE, this->account }, wait);
   if (taken.Taken()) {
     return std::nullopt;
   }
--- a/src/entry/request_run.h
+++ b/src/entry/request_run.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entry/budget_waits.h"
 #include "plantainhaven/entry/request_handler.h"
 #include "plantainhaven/policy/request/refusal.h"
 
@@ -15,6 +16,7 @@
 public:
   RequestRun(const RequestHandlerOptions& aOptions,
              const RequestServices& aServices,
+             BudgetWaits& aWaits,
              const HttpRequest& aRequest,
              std::string aRequestId);
 
@@ -60,6 +62,7 @@
 
   const RequestHandlerOptions& options;
   const RequestServices& services;
+  BudgetWaits& waits;
   const HttpRequest& request;
   std::string requestId;
   BootTime arrivedAt;
--- a/test/entry/request_handler_test.cc
+++ b/test/entry/request_handler_test.cc
@@ -3,6 +3,9 @@
 #include <catch2/catch.hpp>
 #include <google/protobuf/util/json_util.h>
 
+#include <atomic>
+#include <thread>
+
 using namespace plantainhaven;
 
 namespace {
@@ -390,3 +393,50 @@
   CHECK(answered <= 22);
   CHECK(fixture.servers[0]->Executions().total() == 0);
 }
+
+TEST_CASE("no more than the set number of requests waits for tokens")
+{
+  // Counts the calls that wait, which never get a token.
+  class SlowBudgets : public FakeBudgets
+  {
+  public:
+    TakeResult Take(const LedgerId& aId, TokenThousandths, std::chrono::nanoseconds aWait) override
+    {
+      if (aId.type == BudgetId::ACCOUNT_RATE && aWait.count() > 0) {
+        const int now = ++this->waiting;
+        this->most = std::max(this->most.load(), now);
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        --this->waiting;
+      }
+      return { TakeRefusal::kEmpty, std::chrono::seconds(1) };
+    }
+    std::atomic<int> waiting{ 0 };
+    std::atomic<int> most{ 0 };
+  };
+  RequestFixture fixture;
+  SlowBudgets budgets;
+  RequestHandlerOptions options{ "vm-1", "a" };
+  options.mostWaiting = 5;
+  RequestHandler handler(options,
+                         { fixture.view,
+                           fixture.steering,
+                           fixture.pool,
+                           budgets,
+                           fixture.links,
+                           fixture.claims,
+                           fixture.metrics });
+  std::atomic<int> refused{ 0 };
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 20; ++i) {
+    callers.emplace_back([&] {
+      const HttpResponse response = handler.Handle(RequestFixture::Ask("POST", "/fees"));
+      refused += ReasonIn(response) == "account_rate" ? 1 : 0;
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  CHECK(refused == 20);
+  CHECK(budgets.most <= 5);
+  CHECK(budgets.most >= 1);
+}
