Show an issued key only when its change is seen to hold it

A repeated change id answers with what is asked now, so comparing the outcome with the new key proved nothing: a repeat showed a key that isn't in force.

--- a/src/api/resource_actions.cc
+++ b/src/api/resource_actions.cc
@@ -13,26 +13,43 @@
 
 // Characters of the random part of a key's name.
 constexpr std::size_t kKeySuffixLength = 8;
+// Longest wait for the change that issued a key to be seen here.
+constexpr std::chrono::milliseconds kConfirmWait{ 2000 };
 // How often a drain is tried again after another write came first.
 constexpr int kDrainAttempts = 5;
 // Longest wait for the write that came first to be seen here.
 constexpr std::chrono::milliseconds kDrainWait{ 500 };
 
-// True when the outcome is that of an earlier call with the same change id.
-bool
-HoldsOtherKey(const WriteOutcome& aOutcome, const Resource& aKey)
+Error
+AlreadyIssued(const std::string& aName)
 {
-  return aOutcome.resources_size() == 1 &&
-         aOutcome.resources(0).key().digest() != aKey.key().digest();
+  return { ErrorKind::kConflict,
+           "this change id has already issued key \"" + aName + "\", which is shown once only",
+           "withdraw that key if its answer was lost, then issue another with a new change id" };
 }
 
 Error
-AlreadyIssued(const WriteOutcome& aOutcome)
+NotConfirmed(const std::string& aName)
 {
-  return { ErrorKind::kConflict,
-           "this change id has already issued key \"" + aOutcome.resources(0).name() +
-             "\", which is shown once only",
-           "withdraw that key if its answer was lost, then issue another with a new change id" };
+  return { ErrorKind::kUnknown,
+           "key \"" + aName + "\" was issued, but this VM can't tell whether by this call",
+           "withdraw key " + aName + " if it exists, then issue another with a new change id" };
+}
+
+// Checks that a change put just this key, not one of an earlier call with its id.
+Result<Done>
+ConfirmKey(ResourceService& aService, Revision aRevision, const Resource& aKey)
+{
+  const auto changes = aService.ChangesAfter(aRevision - 1, kConfirmWait);
+  const bool found = IsOk(changes) && !ValueOf(changes).empty() &&
+                     ValueOf(changes).front().revision() == aRevision &&
+                     ValueOf(changes).front().puts_size() == 1;
+  if (!found) {
+    return NotConfirmed(aKey.name());
+  }
+  const Resource& put = ValueOf(changes).front().puts(0);
+  const bool same = put.name() == aKey.name() && put.key().digest() == aKey.key().digest();
+  return same ? Result<Done>(Done{}) : AlreadyIssued(put.name());
 }
 
 } // namespace
@@ -60,8 +77,13 @@
   if (!IsOk(outcome)) {
     return this->AnswerError(write, ErrorOf(outcome));
   }
-  if (HoldsOtherKey(ValueOf(outcome), resource)) {
-    return this->AnswerError(write, AlreadyIssued(ValueOf(outcome)));
+  const bool repeatable = aCall.request.headers.CountOf(kChangeIdHeader) != 0;
+  const Result<Done> confirmed =
+    repeatable ? ConfirmKey(this->service, ValueOf(outcome).revision(), resource) : Done{};
+  if (!IsOk(confirmed)) {
+    HttpResponse response = ErrorResponse(ErrorOf(confirmed));
+    response.headers.Add(kChangeIdHeader, write.changeId);
+    return response;
   }
   IssuedKey issued;
   issued.set_name(resource.name());
--- a/test/api/actions_test.cc
+++ b/test/api/actions_test.cc
@@ -62,6 +62,17 @@
   CHECK(fixture.Applied() == 2);
 }
 
+TEST_CASE("A key that can't be seen in its change is not shown")
+{
+  ApiFixture fixture;
+  fixture.service.oldestKept = 100;
+  const HttpResponse response =
+    fixture.Ask("POST", kIssuePath, "", { { "Plantainhaven-Change-Id", "issue-1" } });
+  CHECK(response.status == 504);
+  CHECK(ErrorIn(response).remedy().find("franchise.") != std::string::npos);
+  CHECK(response.body.find("\"key\"") == std::string::npos);
+}
+
 TEST_CASE("A withdrawn key is gone")
 {
   ApiFixture fixture;
--- a/test/api/fake_resource_service.h
+++ b/test/api/fake_resource_service.h
@@ -43,8 +43,13 @@
       return failure;
     }
     const auto known = this->outcomes.find(aChangeId);
-    return known != this->outcomes.end() ? Result<WriteOutcome>(known->second)
-                                         : this->Commit(aWrite, aDeleteVersions, aChangeId);
+    if (known == this->outcomes.end()) {
+      return this->Commit(aWrite, aDeleteVersions, aChangeId);
+    }
+    // What was asked now, as the service keeps no resources by change id.
+    WriteOutcome outcome = known->second;
+    *outcome.mutable_resources() = aWrite.resources();
+    return outcome;
   }
 
   Result<std::vector<ChangeRecord>> ChangesAfter(Revision aRevision,
