--- a/src/platform/backend_answer.cc
+++ b/src/platform/backend_answer.cc
@@ -3,7 +3,6 @@
 #include "platform/json.h"
 
 #include <algorithm>
-#include <memory>
 #include <string_view>
 #include <utility>
 
--- a/src/platform/row_key.cc
+++ b/src/platform/row_key.cc
@@ -1,6 +1,5 @@
 #include "platform/row_key.h"
 
-#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <set>
