Withhold a VM from look-ups until its shares of the budgets can be used

Cause: a VM that starts is fresh within a second, so look-ups named it, but its share of the region slots counts as lent for the longest grant and use. Now plantain-entryd tells its plantain-controld when its budgets are usable; until then peers hear that the VM isn't fresh and look-ups leave it out. The effect on a rolling replacement is yet to be measured.

--- a/include/plantainhaven/control/local_view.h
+++ b/include/plantainhaven/control/local_view.h
@@ -21,6 +21,8 @@
   Revision accepted_revision = 0;
   BootTime accepted_at{};
   bool leaving = false;
+  // True while plantain-entryd asks and is ready.
+  bool serving = false;
   std::vector<VmStatus> vms;
   std::vector<ShiftPosition> shift_positions;
 };
--- a/include/plantainhaven/entry/budget_service.h
+++ b/include/plantainhaven/entry/budget_service.h
@@ -69,6 +69,11 @@
   // What could be taken now without waiting; 0 for an unknown budget.
   TokenThousandths Available(const LedgerId& aId, BootTime aNow) const;
 
+  // True when requests can get slots here: a region's slots are to be had or in use, or
+  // no budget limits any. A process that starts has nothing until its predecessor's
+  // grants have lapsed and the fleet has accepted it.
+  bool Established(BootTime aNow) const;
+
   // One round of the budget thread: handles messages that come within `aLongestWait`
   // and ticks the ledgers. For tests that don't call Start().
   void RunOnce(std::chrono::milliseconds aLongestWait);
--- a/include/plantainhaven/entry/control_thread.h
+++ b/include/plantainhaven/entry/control_thread.h
@@ -22,6 +22,7 @@
 {
   std::function<void(const BudgetConfiguration&, BootTime)> configuration;
   std::function<void(const BudgetView&, BootTime)> view;
+  std::function<bool(BootTime)> established;
 };
 
 // What the control thread keeps up to date; all of it outlives the thread.
--- a/include/plantainhaven/fleet/view_follower.h
+++ b/include/plantainhaven/fleet/view_follower.h
@@ -51,7 +51,8 @@
   // This VM's name and its incarnation; empty and 0 before the first answer.
   const std::string& Vm() const { return this->vm; }
   std::uint64_t Incarnation() const { return this->incarnation; }
-  // True once this VM's controld has begun to stop.
+  // True while look-ups must not name this VM: it stops, or its plantain-entryd is silent
+  // or not ready.
   bool Leaving() const { return this->leaving; }
   const std::vector<VmStatus>& Vms() const { return this->vms; }
   // Positions that peers reported with the last answer.
--- a/include/plantainhaven/policy/view/fleet_view.h
+++ b/include/plantainhaven/policy/view/fleet_view.h
@@ -90,6 +90,9 @@
   void OnWritten(Revision aRevision, BootTime aNow);
   // The platform's VM list was read.
   void OnVmList(const VmListAnswer& aList, BootTime aNow);
+  // Whether this VM serves callers; while it doesn't, peers are told that it isn't fresh.
+  // A VM counts as serving until told otherwise.
+  void SetServing(bool aServing);
   // This VM began to stop.
   void OnLeaving(BootTime aNow);
   // A message arrived; messages of other kinds are ignored.
--- a/src/control/control_loop.h
+++ b/src/control/control_loop.h
@@ -122,6 +122,7 @@
   BootTime nextShiftReport{};
   BootTime nextPublish{};
   BootTime lastEntryAsk{};
+  bool entryReady = false;
   std::atomic<bool> leaving{ false };
   std::atomic<bool> entryAlive{ false };
 
--- a/src/control/control_members.cc
+++ b/src/control/control_members.cc
@@ -31,6 +31,7 @@
 ControlLoop::NoteEntry(const ViewAsk& aAsk, BootTime aNow)
 {
   this->lastEntryAsk = aNow;
+  this->entryReady = aAsk.ready();
   this->ownPositions.assign(aAsk.shift_positions().begin(), aAsk.shift_positions().end());
   if (aAsk.leaving() == this->leaving) {
     return;
@@ -49,6 +50,7 @@
   state.vm = this->settings.vm().name();
   state.incarnation = this->incarnation;
   state.leaving = this->leaving;
+  state.serving = this->entryAlive && this->entryReady;
   for (const auto& [service, position] : this->peerPositions) {
     state.shift_positions.push_back(position);
   }
@@ -129,6 +131,7 @@
 ControlLoop::MaintainMembership(BootTime aNow)
 {
   this->entryAlive = aNow - this->lastEntryAsk < kEntrySilence;
+  this->view->SetServing(this->entryAlive && this->entryReady);
   if (aNow < this->nextMembership || this->writer == nullptr || !this->storeReachable) {
     return;
   }
--- a/src/control/local_view.cc
+++ b/src/control/local_view.cc
@@ -71,6 +71,7 @@
   answer.set_accepted_revision(aState.accepted_revision);
   answer.set_accepted_at_boottime_ns(ToBootNanoseconds(aState.accepted_at));
   answer.set_leaving(aState.leaving);
+  answer.set_not_serving(!aState.serving);
   for (const VmStatus& vm : aState.vms) {
     *answer.add_vms() = vm;
   }
--- a/src/entry/budget_registry.cc
+++ b/src/entry/budget_registry.cc
@@ -1,5 +1,6 @@
 #include "entry/budget_registry.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -123,6 +124,25 @@
   this->entries.erase(aId);
 }
 
+bool
+BudgetRegistry::Established(BootTime aNow) const
+{
+  std::vector<LedgerEntryPointer> slots;
+  {
+    const std::shared_lock lock(this->mapMutex);
+    for (const auto& [id, entry] : this->entries) {
+      if (id.type == BudgetId::REGION_SLOTS) {
+        slots.push_back(entry);
+      }
+    }
+  }
+  const bool usable = std::any_of(slots.begin(), slots.end(), [aNow](const auto& aEntry) {
+    const std::lock_guard entryLock(aEntry->mutex);
+    return aEntry->ledger.Available(aNow) + aEntry->ledger.InUse() > 0;
+  });
+  return usable || slots.empty();
+}
+
 void
 BudgetRegistry::SetView(const BudgetView& aView, BootTime aNow)
 {
--- a/src/entry/budget_registry.h
+++ b/src/entry/budget_registry.h
@@ -54,6 +54,9 @@
   LedgerEntryPointer Find(const LedgerId& aId) const;
   std::vector<LedgerEntryPointer> All() const;
 
+  // True when some region's slots are to be had or in use, or no ledger is for slots.
+  bool Established(BootTime aNow) const;
+
   // Applies a revision: adds, changes and drops ledgers.
   void Apply(const BudgetConfiguration& aConfiguration, BootTime aNow);
   void SetView(const BudgetView& aView, BootTime aNow);
--- a/src/entry/budget_service.cc
+++ b/src/entry/budget_service.cc
@@ -363,6 +363,12 @@
   return entry->ledger.Available(this->impl->Later(aNow));
 }
 
+bool
+BudgetService::Established(BootTime aNow) const
+{
+  return this->impl->registry.Established(this->impl->Later(aNow));
+}
+
 void
 BudgetService::RunOnce(milliseconds aLongestWait)
 {
--- a/src/entry/control_thread.cc
+++ b/src/entry/control_thread.cc
@@ -80,6 +80,7 @@
   ControlTargets targets;
   ViewFollower follower{ kRole };
   std::shared_ptr<const RequestTables> tables = {};
+  bool ready = false;
   std::atomic<bool> leaving{ false };
   std::mutex mutex = {};
   std::condition_variable changed = {};
@@ -119,6 +120,9 @@
 {
   ViewAsk request = this->follower.MakeAsk();
   request.set_leaving(this->leaving);
+  // Once ready, a VM stays so: a budget that is added later starts empty on every VM.
+  this->ready = this->ready || (this->tables != nullptr && this->targets.budgets.established(aNow));
+  request.set_ready(this->ready);
   for (const ServiceSplit& split : this->targets.steering.Positions()) {
     *request.add_shift_positions() = ToMessage(split);
   }
--- a/src/fleet/view_follower.cc
+++ b/src/fleet/view_follower.cc
@@ -59,7 +59,7 @@
   this->controldIncarnation = aAnswer.controld_incarnation();
   this->vm = aAnswer.vm();
   this->incarnation = aAnswer.incarnation();
-  this->leaving = aAnswer.leaving();
+  this->leaving = aAnswer.leaving() || aAnswer.not_serving();
   this->vms.assign(aAnswer.vms().begin(), aAnswer.vms().end());
   this->shiftPositions.assign(aAnswer.shift_positions().begin(), aAnswer.shift_positions().end());
 }
--- a/test/entry/control_thread_test.cc
+++ b/test/entry/control_thread_test.cc
@@ -34,6 +34,7 @@
   BootTime now{ seconds(1000) };
   ViewAnswer answer;
   bool answers = true;
+  bool established = false;
   std::vector<ViewAsk> asks;
   std::vector<BudgetConfiguration> budgetUpdates;
   FakeBudgets budgets;
@@ -52,7 +53,8 @@
                            { [this](const BudgetConfiguration& aUpdate, BootTime) {
                               this->budgetUpdates.push_back(aUpdate);
                             },
-                             [](const BudgetView&, BootTime) {} } } };
+                             [](const BudgetView&, BootTime) {},
+                             [this](BootTime) { return this->established; } } } };
 };
 
 } // namespace
@@ -146,3 +148,27 @@
   CHECK(fixture.asks.back().leaving());
   CHECK_FALSE(fixture.asks.front().leaving());
 }
+
+TEST_CASE("a VM says that it is ready once its budgets are, and stays ready")
+{
+  ControlFixture fixture;
+  fixture.established = true;
+  fixture.Round();
+  CHECK_FALSE(fixture.asks.back().ready());
+
+  fixture.established = false;
+  fixture.config.AddService("s", 1000);
+  fixture.config.Apply();
+  fixture.AddChange();
+  fixture.SetFreshFor(seconds(3));
+  fixture.Round();
+  fixture.Round();
+  CHECK_FALSE(fixture.asks.back().ready());
+
+  fixture.established = true;
+  fixture.Round();
+  CHECK(fixture.asks.back().ready());
+  fixture.established = false;
+  fixture.Round();
+  CHECK(fixture.asks.back().ready());
+}
