Leave a lost region at once, and take no answer for whole that can't tell its end

Causes: with every server of a region gone a request tried only servers of that region until its attempts were used up, and the retry budget denied further attempts although a refused connection costs no server anything; servers that refuse connections were only found out by requests. Now a request moves to the next region of its plan after two servers, connection failures don't use the retry budget, and three probes without a connection eject a server. An answer with neither Content-Length nor Transfer-Encoding ends with its connection, so a cut one looks whole: its outcome is now told as unknown.

--- a/include/plantainhaven/entry/steering.h
+++ b/include/plantainhaven/entry/steering.h
@@ -54,6 +54,7 @@
 
   void OnReport(const std::string& aServer, const LoadReport& aReport, BootTime aAskedAt);
   void OnReportMissing(const std::string& aServer, BootTime aNow);
+  void OnUnreachable(const std::string& aServer, BootTime aNow);
 
   // --- From traffic ----------------------------------------------------------
 
--- a/include/plantainhaven/policy/request/server_chooser.h
+++ b/include/plantainhaven/policy/request/server_chooser.h
@@ -89,6 +89,9 @@
   // The server didn't tell its load: an ejected one stays ejected, for others nothing
   // changes.
   void OnReportMissing(const std::string& aServer, BootTime aNow);
+  // A probe of the load found no connection at all: after several in a row the server is
+  // ejected, before requests have to find out.
+  void OnUnreachable(const std::string& aServer, BootTime aNow);
   // An answer said that the server drains.
   void OnDraining(const std::string& aServer, BootTime aNow);
 
--- a/src/entry/attempts.cc
+++ b/src/entry/attempts.cc
@@ -16,6 +16,8 @@
 constexpr std::size_t kHeadBytes = 512;
 // So many times the usual time of a server is still not suspicious.
 constexpr int kUsualTimes = 4;
+// Servers of a region that are tried before the next region is.
+constexpr std::size_t kTriesInRegion = 2;
 constexpr int kServiceUnavailable = 503;
 
 AttemptOutcome
@@ -45,6 +47,15 @@
   return headers;
 }
 
+// An answer whose body just ends with the connection may have been cut.
+bool
+TellsItsEnd(const std::string& aMethod, const HttpResponse& aResponse)
+{
+  const bool hasBody = aMethod != "HEAD" && aResponse.status != 204 && aResponse.status != 304;
+  return !hasBody || aResponse.headers.CountOf("Content-Length") > 0 ||
+         aResponse.headers.CountOf("Transfer-Encoding") > 0;
+}
+
 } // namespace
 
 std::chrono::nanoseconds
@@ -94,7 +105,8 @@
   if (isFinal || !MayRetry(facts)) {
     return false;
   }
-  if (!this->services.steering.TryRetry(this->service->name, BootClock::Now())) {
+  const bool costsNoServer = aEnd == AttemptEnd::kConnect || aEnd == AttemptEnd::kBarred;
+  if (!costsNoServer && !this->services.steering.TryRetry(this->service->name, BootClock::Now())) {
     this->services.metrics.Count("plantainhaven_retries_denied_total", "reason", ToString(aEnd));
     return false;
   }
@@ -179,7 +191,8 @@
     const auto& tried = this->avoided.servers;
     const bool isNew =
       server != nullptr && std::find(tried.begin(), tried.end(), server->name) == tried.end();
-    if (isNew) {
+    const bool mayMove = this->nextRegion < this->plan.regions.size();
+    if (isNew && !(mayMove && tried.size() >= kTriesInRegion)) {
       return server;
     }
     const std::string before = this->region;
@@ -267,7 +280,7 @@
   const BootTime answeredAt = BootClock::Now();
   this->answerBytes += static_cast<std::int64_t>(kHeadBytes + response.body.size());
   const AttemptEnd end = this->Judge(aServer, response);
-  if (end == AttemptEnd::kCrossed) {
+  if (end == AttemptEnd::kCrossed || end == AttemptEnd::kTruncated) {
     this->services.pool.Discard(std::move(aConnection), sentAt);
     return end;
   }
@@ -301,6 +314,9 @@
   if (!echoed.empty() && echoed != this->requestId) {
     return AttemptEnd::kCrossed;
   }
+  if (!TellsItsEnd(this->request.method, aResponse)) {
+    return AttemptEnd::kTruncated;
+  }
   if (aResponse.headers.Get(kDrainingHeader) == "true") {
     this->services.steering.OnDraining(aServer, BootClock::Now());
   }
--- a/src/entry/load_poller.cc
+++ b/src/entry/load_poller.cc
@@ -59,7 +59,9 @@
   auto acquired = this->pool.Acquire(aServer, ReuseRule::kStalest, askedAt);
   ConnectionPointer* connection = std::get_if<ConnectionPointer>(&acquired);
   if (connection == nullptr) {
-    this->steering.OnReportMissing(aServer.name, askedAt);
+    if (std::get<AttemptEnd>(acquired) == AttemptEnd::kConnect) {
+      this->steering.OnUnreachable(aServer.name, askedAt);
+    }
     return;
   }
   HttpRequest ask;
--- a/src/entry/steering.cc
+++ b/src/entry/steering.cc
@@ -112,6 +112,13 @@
   this->impl->servers.OnReportMissing(aServer, aNow);
 }
 
+void
+Steering::OnUnreachable(const std::string& aServer, BootTime aNow)
+{
+  const std::lock_guard<std::mutex> lock(this->impl->mutex);
+  this->impl->servers.OnUnreachable(aServer, aNow);
+}
+
 RegionPlan
 Steering::Plan(const ServiceEntry& aService, BootTime aNow)
 {
--- a/src/policy/request/retry_rule.cc
+++ b/src/policy/request/retry_rule.cc
@@ -11,7 +11,7 @@
 constexpr std::chrono::milliseconds kLeastTimeLeft{ 2 };
 
 // Attempts of a request that surely hasn't run, which every request may make.
-constexpr std::uint32_t kLeastAttempts = 2;
+constexpr std::uint32_t kLeastAttempts = 3;
 
 struct EndRule
 {
--- a/src/policy/request/server_chooser.cc
+++ b/src/policy/request/server_chooser.cc
@@ -1,5 +1,7 @@
 #include "plantainhaven/policy/request/server_chooser.h"
 
+#include "policy/request/server_state.h"
+
 #include <algorithm>
 #include <map>
 #include <unordered_map>
@@ -8,28 +10,6 @@
 
 namespace {
 
-// Each answer time counts for one part in so many in the mean.
-constexpr int kMeanParts = 8;
-// Smallest part of its full share that a cold server gets.
-constexpr double kSlowStartFloor = 0.1;
-
-struct ServerState
-{
-  std::shared_ptr<const ServerEntry> entry;
-  std::chrono::nanoseconds slowStart{ 0 };
-  BootTime warmingSince{};
-  bool warming = false;
-  std::uint32_t inFlight = 0;
-  std::uint32_t failures = 0;
-  BootTime ejectedUntil{};
-  BootTime shedUntil{};
-  BootTime drainingUntil{};
-  LoadReport report;
-  BootTime reportedAt{};
-  bool reported = false;
-  std::chrono::nanoseconds usualTime{ 0 };
-};
-
 using StatePointer = std::shared_ptr<ServerState>;
 using Group = std::vector<StatePointer>;
 
@@ -56,45 +36,6 @@
   }
 };
 
-bool
-IsDraining(const ServerState& aState, BootTime aNow)
-{
-  return aState.entry->draining || aNow < aState.drainingUntil;
-}
-
-bool
-IsEjected(const ServerState& aState, BootTime aNow)
-{
-  return aNow < aState.ejectedUntil;
-}
-
-double
-SlowStartFactor(const ServerState& aState, BootTime aNow)
-{
-  if (!aState.warming || aState.slowStart.count() <= 0) {
-    return 1;
-  }
-  const double age = std::chrono::duration<double>(aNow - aState.warmingSince).count();
-  const double whole = std::chrono::duration<double>(aState.slowStart).count();
-  return std::clamp(age / whole, kSlowStartFloor, 1.0);
-}
-
-// Load relative to what the server can take; a request to be added counts already.
-double
-ScoreOf(const ServerState& aState, const ServerChooserOptions& aOptions, BootTime aNow)
-{
-  double load = aState.inFlight;
-  if (aState.reported) {
-    const double age = std::chrono::duration<double>(aNow - aState.reportedAt).count();
-    const double life = std::chrono::duration<double>(aOptions.reportLife).count();
-    const double trust = std::clamp(1 - age / life, 0.0, 1.0);
-    const double others = std::max(0.0, aState.report.inFlight - load);
-    load += trust * std::min<double>(others, aState.entry->slots);
-  }
-  const double capacity = std::max(1U, aState.entry->slots) * SlowStartFactor(aState, aNow);
-  return (load + 1) / capacity;
-}
-
 bool
 Names(const std::vector<std::string>& aNames, const std::string& aName)
 {
@@ -107,7 +48,6 @@
 {
   void AddServer(const ServerEntry& aServer, std::chrono::nanoseconds aSlowStart, BootTime aNow);
   ServerState* Find(const std::string& aName) const;
-  void OnFailure(ServerState& aState, BootTime aNow) const;
   std::vector<const ServerState*> Usable(const Group& aGroup, BootTime aNow) const;
   std::vector<const ServerState*> Preferred(const std::vector<const ServerState*>& aStates,
                                             const Avoided& aAvoided,
@@ -138,9 +78,7 @@
   const bool sameProcess = state != nullptr && state->entry->address == aServer.address &&
                            state->entry->port == aServer.port;
   if (!sameProcess) {
-    state = std::make_shared<ServerState>();
-    state->warming = this->updated;
-    state->warmingSince = aNow;
+    state = std::make_shared<ServerState>(this->updated, aNow);
   }
   state->entry = std::make_shared<const ServerEntry>(aServer);
   state->slowStart = aSlowStart;
@@ -156,8 +94,8 @@
   std::vector<const ServerState*> ejected;
   usable.reserve(aGroup.size());
   for (const StatePointer& state : aGroup) {
-    if (!IsDraining(*state, aNow)) {
-      (IsEjected(*state, aNow) ? ejected : usable).push_back(state.get());
+    if (!state->IsDraining(aNow)) {
+      (state->IsEjected(aNow) ? ejected : usable).push_back(state.get());
     }
   }
   const std::size_t floor = (usable.size() + ejected.size() + 1) / 2;
@@ -166,7 +104,7 @@
   }
   std::sort(
     ejected.begin(), ejected.end(), [](const ServerState* aLeft, const ServerState* aRight) {
-      return aLeft->ejectedUntil < aRight->ejectedUntil;
+      return aLeft->EjectedUntil() < aRight->EjectedUntil();
     });
   ejected.resize(floor - usable.size());
   usable.insert(usable.end(), ejected.begin(), ejected.end());
@@ -185,7 +123,7 @@
   int bestRank = 8;
   for (const ServerState* state : aStates) {
     const int tried = Names(aAvoided.servers, state->entry->name) ? 4 : 0;
-    const int sheds = aNow < state->shedUntil ? 2 : 0;
+    const int sheds = state->HasJustShed(aNow) ? 2 : 0;
     const int near = Names(aAvoided.failureDomains, state->entry->failureDomain) ? 1 : 0;
     const int rank = tried + sheds + near;
     if (rank > bestRank) {
@@ -205,8 +143,8 @@
                             const ServerState* aRight,
                             BootTime aNow) const
 {
-  const double left = ScoreOf(*aLeft, this->options, aNow);
-  const double right = ScoreOf(*aRight, this->options, aNow);
+  const double left = aLeft->Score(this->options, aNow);
+  const double right = aRight->Score(this->options, aNow);
   return right < left ? aRight : aLeft;
 }
 
@@ -259,7 +197,7 @@
   const std::size_t step = states.size() == 1 ? 0 : 1 + aRandom() % (states.size() - 1);
   const std::size_t second = (first + step) % states.size();
   const ServerState* chosen = this->impl->Better(states[first], states[second], aNow);
-  if (ScoreOf(*chosen, this->impl->options, aNow) > 1) {
+  if (chosen->Score(this->impl->options, aNow) > 1) {
     // Both are full as far as is known: look at all.
     for (const ServerState* state : states) {
       chosen = this->impl->Better(chosen, state, aNow);
@@ -276,43 +214,11 @@
   }
 }
 
-void
-ServerChooser::Impl::OnFailure(ServerState& aState, BootTime aNow) const
-{
-  ++aState.failures;
-  if (aState.failures < this->options.ejectAfter) {
-    return;
-  }
-  const std::uint32_t doublings = std::min(aState.failures - this->options.ejectAfter, 10U);
-  const std::chrono::nanoseconds length =
-    std::min(this->options.ejection * (1 << doublings), this->options.longestEjection);
-  aState.ejectedUntil = aNow + length;
-}
-
 void
 ServerChooser::OnEnd(const std::string& aServer, AttemptOutcome aOutcome, BootTime aNow)
 {
-  ServerState* state = this->impl->Find(aServer);
-  if (state == nullptr) {
-    return;
-  }
-  if (state->inFlight > 0) {
-    --state->inFlight;
-  }
-  if (aOutcome == AttemptOutcome::kFailed) {
-    this->impl->OnFailure(*state, aNow);
-  }
-  if (aOutcome == AttemptOutcome::kShed) {
-    state->shedUntil = aNow + this->impl->options.shedPause;
-  }
-  if (aOutcome == AttemptOutcome::kAnswered) {
-    if (state->failures >= this->impl->options.ejectAfter) {
-      // It was away, so it may have restarted cold.
-      state->warming = true;
-      state->warmingSince = aNow;
-    }
-    state->failures = 0;
-    state->ejectedUntil = BootTime{};
+  if (ServerState* state = this->impl->Find(aServer)) {
+    state->OnEnd(aOutcome, this->impl->options, aNow);
   }
 }
 
@@ -320,8 +226,7 @@
 ServerChooser::OnAnswerTime(const std::string& aServer, std::chrono::nanoseconds aTime)
 {
   if (ServerState* state = this->impl->Find(aServer)) {
-    const bool first = state->usualTime.count() == 0;
-    state->usualTime += first ? aTime : (aTime - state->usualTime) / kMeanParts;
+    state->OnAnswerTime(aTime);
   }
 }
 
@@ -335,26 +240,24 @@
 void
 ServerChooser::OnReport(const std::string& aServer, const LoadReport& aReport, BootTime aAskedAt)
 {
-  ServerState* state = this->impl->Find(aServer);
-  if (state == nullptr || (state->reported && aAskedAt < state->reportedAt)) {
-    return;
-  }
-  state->report = aReport;
-  state->reportedAt = aAskedAt;
-  state->reported = true;
-  state->drainingUntil = aReport.draining ? aAskedAt + this->impl->options.drainMemory : BootTime{};
-  if (aReport.uptime.count() >= 0 && aReport.uptime < state->slowStart) {
-    state->warming = true;
-    state->warmingSince = aAskedAt - aReport.uptime;
+  if (ServerState* state = this->impl->Find(aServer)) {
+    state->OnReport(aReport, this->impl->options, aAskedAt);
   }
 }
 
 void
 ServerChooser::OnReportMissing(const std::string& aServer, BootTime aNow)
 {
-  ServerState* state = this->impl->Find(aServer);
-  if (state != nullptr && state->failures >= this->impl->options.ejectAfter) {
-    state->ejectedUntil = std::max(state->ejectedUntil, aNow + this->impl->options.ejection);
+  if (ServerState* state = this->impl->Find(aServer)) {
+    state->OnReportMissing(this->impl->options, aNow);
+  }
+}
+
+void
+ServerChooser::OnUnreachable(const std::string& aServer, BootTime aNow)
+{
+  if (ServerState* state = this->impl->Find(aServer)) {
+    state->OnUnreachable(this->impl->options, aNow);
   }
 }
 
@@ -362,7 +265,7 @@
 ServerChooser::OnDraining(const std::string& aServer, BootTime aNow)
 {
   if (ServerState* state = this->impl->Find(aServer)) {
-    state->drainingUntil = aNow + this->impl->options.drainMemory;
+    state->OnDraining(this->impl->options, aNow);
   }
 }
 
@@ -374,7 +277,7 @@
     return true;
   }
   return std::all_of(group->second.begin(), group->second.end(), [&](const StatePointer& aState) {
-    return IsDraining(*aState, aNow) || IsEjected(*aState, aNow);
+    return aState->IsDraining(aNow) || aState->IsEjected(aNow);
   });
 }
 
@@ -382,7 +285,7 @@
 ServerChooser::TakesNew(const std::string& aServer, BootTime aNow) const
 {
   const ServerState* state = this->impl->Find(aServer);
-  return state != nullptr && !IsDraining(*state, aNow);
+  return state != nullptr && !state->IsDraining(aNow);
 }
 
 } // namespace plantainhaven
--- a/test/policy/request/server_chooser_test.cc
+++ b/test/policy/request/server_chooser_test.cc
@@ -162,6 +162,19 @@
   CHECK(fixture.Draw()["s1"] > 150);
 }
 
+TEST_CASE("a server that probes can't reach is ejected without a request")
+{
+  ChooserFixture fixture;
+  fixture.chooser.OnUnreachable("s1", fixture.now);
+  fixture.chooser.OnUnreachable("s1", fixture.now);
+  fixture.chooser.OnReport("s1", { 0, false }, fixture.now);
+  fixture.chooser.OnUnreachable("s1", fixture.now);
+  CHECK(fixture.Draw()["s1"] > 150);
+  fixture.chooser.OnUnreachable("s1", fixture.now);
+  fixture.chooser.OnUnreachable("s1", fixture.now);
+  CHECK(fixture.Draw()["s1"] == 0);
+}
+
 TEST_CASE("a server that shed rests while others can take it")
 {
   ChooserFixture fixture;
