Tell truly what became of a write when the store fails

Cause: the resource API always hands the writer a change id, and the writer took any given id for one that may already be committed. So a write during an outage was answered "outcome unknown" (504) although nothing had been sent; and after a lost commit a replica that was behind made the writer say "nothing was done", which may be false. Now "look the id up first" and "a commit of this call is unresolved" are two things: unknown is told only for the second. No attempt begins later than 5 s after the first. Open watches no longer hold up a planned stop.

--- a/include/plantainhaven/control/writer.h
+++ b/include/plantainhaven/control/writer.h
@@ -39,12 +39,26 @@
   // Attempts before a write gives up because others keep winning, or because the store
   // doesn't tell what became of it.
   static constexpr int kMaxAttempts = 8;
+  // No attempt begins later than this after the first.
+  static constexpr std::chrono::seconds kLongestWrite{ 5 };
   // Pause between two attempts.
   static constexpr std::chrono::milliseconds kRetryPause{ 20 };
   // Longest wait for the replica to reach a head that was read.
   static constexpr std::chrono::milliseconds kCatchUpWait{ 2000 };
 
 private:
+  // Where one write stands.
+  struct Attempt
+  {
+    std::string changeId;
+    // The change id may be in use: look before committing.
+    bool resolveFirst = false;
+    // A commit of this call may have taken effect or may still do so.
+    bool unresolved = false;
+    // Another attempt may succeed.
+    bool again = false;
+  };
+
   Result<ChangeRecord> Prepare(const ApplyRequest& aWrite,
                                const std::vector<Revision>& aDeleteVersions,
                                const std::string& aChangeId,
@@ -53,6 +67,17 @@
                                    const std::string& aChangeId,
                                    Revision aRevision);
   bool CatchUp(Revision aHead);
+  Result<WriteOutcome> TryOnce(const ApplyRequest& aWrite,
+                               const std::vector<Revision>& aDeleteVersions,
+                               Attempt& aAttempt);
+  Result<WriteOutcome> RefuseOrResolve(const ApplyRequest& aWrite,
+                                       Attempt& aAttempt,
+                                       Revision aHead,
+                                       const Error& aRefusal);
+  Result<WriteOutcome> Commit(const StoredHead& aHead,
+                              const ChangeRecord& aChange,
+                              Attempt& aAttempt);
+  Error Again(Attempt& aAttempt, const char* aReason, Error aOtherwise);
 
   ConfigurationStore& store;
   Replica& replica;
--- a/src/control/writer.cc
+++ b/src/control/writer.cc
@@ -1,6 +1,7 @@
 #include "plantainhaven/control/writer.h"
 
 #include "plantainhaven/common/digest.h"
+#include "plantainhaven/common/time.h"
 #include "plantainhaven/policy/config/validation.h"
 
 #include <thread>
@@ -37,6 +38,16 @@
                 "repeat the write, here or through another VM" };
 }
 
+// The store's error, told as what it means here: this call did nothing.
+Error
+StoreUnavailable(const Error& aError)
+{
+  return Error{ ErrorKind::kUnavailable,
+                "the store can't be used (" + aError.message +
+                  "); this call did nothing, and can't tell about earlier calls with its change id",
+                "repeat the write with the same change id when the store is back" };
+}
+
 WriteOutcome
 OutcomeOf(const ChangeRecord& aChange)
 {
@@ -129,73 +140,105 @@
               const std::string& aChangeId)
 {
   const std::scoped_lock lock(this->oneAtATime);
-  const std::string changeId = aChangeId.empty() ? RandomId() : aChangeId;
-  // A repeated change id may already be committed; so may an attempt of this call
-  // whose answer was lost.
-  bool mayBeCommitted = !aChangeId.empty();
-  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
-    std::this_thread::sleep_for(attempt == 0 ? std::chrono::milliseconds(0) : kRetryPause);
-    if (mayBeCommitted) {
-      const Result<Revision> found = this->store.FindChange(changeId);
-      if (IsOk(found)) {
-        return this->FinishKnown(aWrite, changeId, ValueOf(found));
-      }
-      if (ErrorOf(found).kind != ErrorKind::kNotFound) {
-        this->metrics.Count(kWriteRetries, "reason", "resolve_failed");
-        continue;
-      }
+  Attempt attempt;
+  attempt.changeId = aChangeId.empty() ? RandomId() : aChangeId;
+  attempt.resolveFirst = !aChangeId.empty();
+  Result<WriteOutcome> last = TooManyRaces();
+  const BootTime start = BootClock::Now();
+  for (int i = 0; i < kMaxAttempts && BootClock::Now() - start < kLongestWrite; ++i) {
+    std::this_thread::sleep_for(i == 0 ? std::chrono::milliseconds(0) : kRetryPause);
+    last = this->TryOnce(aWrite, aDeleteVersions, attempt);
+    if (!attempt.again) {
+      return last;
     }
-    const Result<StoredHead> head = this->store.ReadHead();
-    if (!IsOk(head)) {
-      if (mayBeCommitted) {
-        this->metrics.Count(kWriteRetries, "reason", "head_unreadable");
-        continue;
-      }
-      Error error = ErrorOf(head);
-      error.kind = ErrorKind::kUnavailable;
-      return error;
-    }
-    if (!this->CatchUp(ValueOf(head).revision)) {
-      return mayBeCommitted && aChangeId.empty() ? OutcomeUnknown(changeId)
-                                                 : ReplicaBehind(ValueOf(head).revision);
-    }
-    const Result<ChangeRecord> change =
-      this->Prepare(aWrite, aDeleteVersions, changeId, ValueOf(head).revision);
-    if (!IsOk(change)) {
-      if (this->replica.Applied() > ValueOf(head).revision) {
-        this->metrics.Count(kWriteRetries, "reason", "head_moved");
-        continue;
-      }
-      // The head has moved since an earlier attempt, or this one would be as valid as
-      // that was. So that attempt is either committed by now or never will be.
-      const Result<Revision> found = this->store.FindChange(changeId);
-      if (IsOk(found)) {
-        return this->FinishKnown(aWrite, changeId, ValueOf(found));
-      }
-      if (!mayBeCommitted || ErrorOf(found).kind == ErrorKind::kNotFound) {
-        return ErrorOf(change);
-      }
-      this->metrics.Count(kWriteRetries, "reason", "resolve_failed");
-      continue;
-    }
-    const Result<CommitOutcome> outcome = this->store.Commit(ValueOf(head), ValueOf(change));
-    if (IsOk(outcome) && ValueOf(outcome) == CommitOutcome::kCommitted) {
-      this->committed(ValueOf(change));
-      return OutcomeOf(ValueOf(change));
-    }
-    if (IsOk(outcome)) {
-      // The head moved, perhaps through an earlier attempt of this very change.
-      mayBeCommitted = true;
-      this->metrics.Count(kWriteRetries, "reason", "head_moved");
-      continue;
+  }
+  return attempt.unresolved ? OutcomeUnknown(attempt.changeId) : last;
+}
+
+// One attempt. Sets `again` when another may succeed; what is returned then is the
+// answer in case there is none.
+Result<WriteOutcome>
+Writer::TryOnce(const ApplyRequest& aWrite,
+                const std::vector<Revision>& aDeleteVersions,
+                Attempt& aAttempt)
+{
+  aAttempt.again = false;
+  if (aAttempt.resolveFirst) {
+    const Result<Revision> found = this->store.FindChange(aAttempt.changeId);
+    if (IsOk(found)) {
+      return this->FinishKnown(aWrite, aAttempt.changeId, ValueOf(found));
     }
-    if (ErrorOf(outcome).kind == ErrorKind::kUnavailable && !mayBeCommitted) {
-      return ErrorOf(outcome);
+    if (ErrorOf(found).kind != ErrorKind::kNotFound) {
+      return this->Again(aAttempt, "resolve_failed", StoreUnavailable(ErrorOf(found)));
     }
-    mayBeCommitted = true;
-    this->metrics.Count(kWriteRetries, "reason", "outcome_unknown");
   }
-  return mayBeCommitted ? OutcomeUnknown(changeId) : TooManyRaces();
+  const Result<StoredHead> head = this->store.ReadHead();
+  if (!IsOk(head)) {
+    return this->Again(aAttempt, "head_unreadable", StoreUnavailable(ErrorOf(head)));
+  }
+  const Revision revision = ValueOf(head).revision;
+  if (!this->CatchUp(revision)) {
+    return this->Again(aAttempt, "replica_behind", ReplicaBehind(revision));
+  }
+  const Result<ChangeRecord> change =
+    this->Prepare(aWrite, aDeleteVersions, aAttempt.changeId, revision);
+  if (!IsOk(change)) {
+    return this->RefuseOrResolve(aWrite, aAttempt, revision, ErrorOf(change));
+  }
+  return this->Commit(ValueOf(head), ValueOf(change), aAttempt);
+}
+
+// A write that can't be prepared is refused, unless an earlier attempt took effect.
+Result<WriteOutcome>
+Writer::RefuseOrResolve(const ApplyRequest& aWrite,
+                        Attempt& aAttempt,
+                        Revision aHead,
+                        const Error& aRefusal)
+{
+  if (this->replica.Applied() > aHead) {
+    return this->Again(aAttempt, "head_moved", TooManyRaces());
+  }
+  if (!aAttempt.unresolved) {
+    return aRefusal;
+  }
+  // The head has moved since the earlier attempt, or this one would be as valid as that
+  // was. So that attempt is either committed by now or never will be.
+  const Result<Revision> found = this->store.FindChange(aAttempt.changeId);
+  if (IsOk(found)) {
+    return this->FinishKnown(aWrite, aAttempt.changeId, ValueOf(found));
+  }
+  if (ErrorOf(found).kind == ErrorKind::kNotFound) {
+    return aRefusal;
+  }
+  return this->Again(aAttempt, "resolve_failed", StoreUnavailable(ErrorOf(found)));
+}
+
+Result<WriteOutcome>
+Writer::Commit(const StoredHead& aHead, const ChangeRecord& aChange, Attempt& aAttempt)
+{
+  const Result<CommitOutcome> outcome = this->store.Commit(aHead, aChange);
+  if (IsOk(outcome) && ValueOf(outcome) == CommitOutcome::kCommitted) {
+    this->committed(aChange);
+    return OutcomeOf(aChange);
+  }
+  // The head may have moved through an earlier attempt of this very change.
+  aAttempt.resolveFirst = true;
+  if (IsOk(outcome)) {
+    return this->Again(aAttempt, "head_moved", TooManyRaces());
+  }
+  if (ErrorOf(outcome).kind == ErrorKind::kUnavailable) {
+    return this->Again(aAttempt, "store_unavailable", StoreUnavailable(ErrorOf(outcome)));
+  }
+  aAttempt.unresolved = true;
+  return this->Again(aAttempt, "outcome_unknown", OutcomeUnknown(aAttempt.changeId));
+}
+
+Error
+Writer::Again(Attempt& aAttempt, const char* aReason, Error aOtherwise)
+{
+  this->metrics.Count(kWriteRetries, "reason", aReason);
+  aAttempt.again = true;
+  return aOtherwise;
 }
 
 } // namespace plantainhaven
--- a/src/programs/plantain-controld/main.cc
+++ b/src/programs/plantain-controld/main.cc
@@ -69,6 +69,7 @@
   StopSignal::Wait();
   Log(LogLevel::kInfo, "stopping");
   server.BeginDrain();
+  api.EndWatches();
   controller.Stop();
   server.Stop(kApiDrain);
   Log(LogLevel::kInfo, "stopped");
