Name members as the linter asks and mend a test's over-long literal

AddressSanitizer found that one case of server_test read past its literal; the case now builds its string with the NUL in it and is as strict. Moves instead of copies where clang-tidy showed them.

--- a/src/common/setting_value.cc
+++ b/src/common/setting_value.cc
@@ -93,7 +93,7 @@
     const bool isWhole = std::is_integral_v<T>;
     return Expected(isWhole ? "a whole number" : "a number", aText, "Write digits only.");
   }
-  const Result<Done> range = CheckRange(aField, static_cast<double>(*value), aText);
+  Result<Done> range = CheckRange(aField, static_cast<double>(*value), aText);
   if (IsOk(range)) {
     const auto* reflection = aSection.GetReflection();
     (reflection->*(aField.is_repeated() ? aAdd : aSet))(&aSection, &aField, *value);
@@ -142,7 +142,7 @@
                     "Write a number and a unit: us, ms, s, min or h, for example 250ms.");
   }
   const double seconds = std::chrono::duration<double>(*value).count();
-  const Result<Done> range = CheckRange(aField, seconds, aText);
+  Result<Done> range = CheckRange(aField, seconds, aText);
   if (IsOk(range)) {
     const auto* reflection = aSection.GetReflection();
     Message* duration = aField.is_repeated() ? reflection->AddMessage(&aSection, &aField)
@@ -215,7 +215,7 @@
                       aText,
                       "Put one comma between two items and none at the end.");
     }
-    const Result<Done> result = SetOne(aSection, aField, item);
+    Result<Done> result = SetOne(aSection, aField, item);
     if (!IsOk(result)) {
       return result;
     }
--- a/src/common/settings.cc
+++ b/src/common/settings.cc
@@ -55,7 +55,7 @@
       }
     }
     for (const IniEntry& entry : aIni.entries) {
-      const Result<Done> result = this->SetEntry(entry);
+      Result<Done> result = this->SetEntry(entry);
       if (!IsOk(result)) {
         return result;
       }
@@ -102,7 +102,7 @@
       if (!IsSection(field)) {
         continue;
       }
-      const Result<Done> result = this->CompleteSection(field);
+      Result<Done> result = this->CompleteSection(field);
       if (!IsOk(result)) {
         return result;
       }
--- a/src/http/request_runner.cc
+++ b/src/http/request_runner.cc
@@ -117,7 +117,7 @@
   aTurn.close = head.close || connection.requests >= this->options.keep_alive_requests;
   const milliseconds bodyTime = this->options.read_timeout * kBodyTimeFactor;
   connection.stream.SetTimes({ this->options.read_timeout, Clock::now() + bodyTime });
-  if (head.expects_continue && head.frame.framing != Framing::kNone) {
+  if (head.expectsContinue && head.frame.framing != Framing::kNone) {
     connection.stream.write("HTTP/1.1 100 Continue\r\n\r\n");
     connection.stream.Flush();
   }
--- a/src/http/request_runner.h
+++ b/src/http/request_runner.h
@@ -25,7 +25,7 @@
 struct Outcome
 {
   NextStep step = NextStep::kDrop;
-  std::string last_bytes = {};
+  std::string lastBytes = {};
 };
 
 // Runs requests: reads the head, lets cpp-httplib read the body and write the answer,
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -144,7 +144,7 @@
     if (outcome.step == NextStep::kPark) {
       this->Park(std::move(aConnection));
     } else if (outcome.step == NextStep::kCloseGently) {
-      this->parking.CloseGently(std::move(aConnection), outcome.last_bytes);
+      this->parking.CloseGently(std::move(aConnection), outcome.lastBytes);
     }
   }
 
--- a/src/http/socket_stream.cc
+++ b/src/http/socket_stream.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <cstring>
 #include <utility>
 
 #include <netinet/in.h>
@@ -23,7 +22,7 @@
 Take(std::string& aFrom, std::size_t& aStart, char* aBytes, std::size_t aSize)
 {
   const std::size_t size = std::min(aSize, aFrom.size() - aStart);
-  std::memcpy(aBytes, aFrom.data() + aStart, size);
+  std::copy_n(aFrom.data() + aStart, size, aBytes);
   aStart += size;
   if (aStart == aFrom.size()) {
     aFrom.clear();
--- a/src/http/text.cc
+++ b/src/http/text.cc
@@ -211,7 +211,7 @@
     return HeadFault{ kBadRequest };
   }
   head.close = AsksToClose(head.request.headers, version);
-  head.expects_continue = EqualIgnoringCase(head.request.headers.Get("Expect"), "100-continue");
+  head.expectsContinue = EqualIgnoringCase(head.request.headers.Get("Expect"), "100-continue");
   return head;
 }
 
--- a/src/http/text.h
+++ b/src/http/text.h
@@ -37,7 +37,7 @@
   BodyFrame frame;
   // True when the caller asked to close after the answer, also by HTTP/1.0.
   bool close = false;
-  bool expects_continue = false;
+  bool expectsContinue = false;
 };
 
 struct ResponseHead
--- a/test/http/server_test.cc
+++ b/test/http/server_test.cc
@@ -111,7 +111,7 @@
     { "GET / HTTP/2.0\r\n\r\n", "HTTP/1.1 505 " },
     { "GET / HTTP/1.1\r\nX : y\r\n\r\n", "HTTP/1.1 400 " },
     { "GET / HTTP/1.1\r\nX: y\r\n folded\r\n\r\n", "HTTP/1.1 400 " },
-    { std::string("GET / HTTP/1.1\r\nX: a\0b\r\n\r\n", 30), "HTTP/1.1 400 " },
+    { std::string("GET / HTTP/1.1\r\nX: a") + '\0' + "b\r\n\r\n", "HTTP/1.1 400 " },
     { "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", "HTTP/1.1 400 " },
     { "GET /" + std::string(9000, 'x') + " HTTP/1.1\r\n\r\n", "HTTP/1.1 414 " },
     { "GET / HTTP/1.1\r\nX: " + std::string(40000, 'x') + "\r\n\r\n", "HTTP/1.1 431 " },
