Keep resources whose kind only a newer version knows

Cause: an older VM refused a change with a resource of a kind that it didn't know. In a rolling upgrade one write of a new kind would have stopped every older VM from following, and so from serving (the test printed CHECK_FALSE( follower.OnAnswer(...).failed ) with !true, applied 0 == 1). Left: plantain-controld of the older version doesn't pass such resources to a newer plantain-entryd when it sends the whole configuration.

--- a/include/plantainhaven/policy/config/configuration.h
+++ b/include/plantainhaven/policy/config/configuration.h
@@ -73,6 +73,11 @@
 std::string
 KindOf(const Resource& aResource);
 
+// The same for a resource that was written: a kind of a newer version, whose spec this
+// version can't see, is known by the name that its writer gave it.
+std::string
+StoredKindOf(const Resource& aResource);
+
 // Every kind's name, in the order of the schema.
 const std::vector<std::string>&
 AllKinds();
--- a/src/control/local_view.cc
+++ b/src/control/local_view.cc
@@ -21,7 +21,7 @@
   ChangeRecord* change = aAnswer.add_changes();
   change->set_revision(aChange.revision());
   for (const Resource& resource : aChange.puts()) {
-    if (WantsKind(aRole, KindOf(resource))) {
+    if (WantsKind(aRole, StoredKindOf(resource))) {
       *change->add_puts() = resource;
     }
   }
--- a/src/control/writer.cc
+++ b/src/control/writer.cc
@@ -103,6 +103,7 @@
     *change.mutable_deletes() = aWrite.deletes();
     for (Resource& resource : *change.mutable_puts()) {
       resource.set_version(aHead + 1);
+      resource.set_kind(KindOf(resource));
     }
     prepared = std::move(change);
   });
--- a/src/policy/config/configuration.cc
+++ b/src/policy/config/configuration.cc
@@ -18,13 +18,6 @@
            "list the kind to see the names that exist" };
 }
 
-bool
-IsKnownKind(std::string_view aKind)
-{
-  const std::vector<std::string>& kinds = AllKinds();
-  return std::find(kinds.begin(), kinds.end(), aKind) != kinds.end();
-}
-
 // Collects a change's edits by kind before any of them takes effect.
 class ChangeBuilder
 {
@@ -36,7 +29,7 @@
 
   Result<Done> Put(const Resource& aResource)
   {
-    const std::string kind = KindOf(aResource);
+    const std::string kind = StoredKindOf(aResource);
     if (kind.empty() || aResource.name().empty()) {
       return Unusable("resource \"" + aResource.name() + "\" lacks its kind or its name");
     }
@@ -51,8 +44,8 @@
 
   Result<Done> Delete(const ResourceId& aId)
   {
-    if (!IsKnownKind(aId.kind())) {
-      return Unusable("kind \"" + aId.kind() + "\" isn't known");
+    if (aId.kind().empty()) {
+      return Unusable("a deletion of \"" + aId.name() + "\" lacks its kind");
     }
     if (aId.kind() != kClientBlockKind) {
       this->resources[aId.kind()][aId.name()] = nullptr;
--- a/src/policy/config/kinds.cc
+++ b/src/policy/config/kinds.cc
@@ -31,6 +31,13 @@
   return field == nullptr ? std::string{} : field->name();
 }
 
+std::string
+StoredKindOf(const Resource& aResource)
+{
+  const std::string known = KindOf(aResource);
+  return known.empty() ? aResource.kind() : known;
+}
+
 const std::vector<std::string>&
 AllKinds()
 {
--- a/src/policy/config/snapshot.cc
+++ b/src/policy/config/snapshot.cc
@@ -107,7 +107,7 @@
 private:
   Result<Done> Add(Resource aResource)
   {
-    const std::string kind = KindOf(aResource);
+    const std::string kind = StoredKindOf(aResource);
     const std::string name = aResource.name();
     if (kind.empty() || name.empty()) {
       return BadChunk("a resource lacks its kind or its name");
--- a/test/fleet/mixed_version_test.cc
+++ b/test/fleet/mixed_version_test.cc
@@ -199,4 +199,19 @@
   CHECK(follower.Current().AppliedRevision() == 1);
 }
 
+// A newer plantainctl may store a kind of resource that older VMs don't know yet. They
+// must go on from revision to revision, and keep it for the snapshots they make.
+TEST_CASE("A change with a kind of resource of a newer version is applied")
+{
+  ChangeRecord change = RegionChange(1);
+  Resource* const unknown = change.add_puts();
+  unknown->set_name("of-a-newer-kind");
+  unknown->set_kind("newer_kind");
+  AddUnknownFields(*unknown);
+  ViewFollower follower("entry");
+  CHECK_FALSE(follower.OnAnswer(AnswerWith(change)).failed);
+  CHECK(follower.Current().AppliedRevision() == 1);
+  CHECK(follower.Current().Find("region", "region-1") != nullptr);
+}
+
 } // namespace plantainhaven
--- a/test/policy/config/configuration_test.cc
+++ b/test/policy/config/configuration_test.cc
@@ -257,4 +257,31 @@
   }
 }
 
+TEST_CASE("A resource of a newer version's kind is kept through snapshots until deleted")
+{
+  constexpr int kNewerField = 900;
+  Resource newer;
+  newer.set_name("n");
+  newer.set_kind("newer_kind");
+  newer.GetReflection()->MutableUnknownFields(&newer)->AddLengthDelimited(kNewerField, "spec");
+  ChangeRecord put;
+  put.set_revision(1);
+  *put.add_puts() = newer;
+  Configuration configuration;
+  REQUIRE(IsOk(configuration.Apply(put)));
+
+  Result<Configuration> loaded = Configuration::FromChunks(1, configuration.ToChunks());
+  REQUIRE(IsOk(loaded));
+  const Resource* kept = ValueOf(loaded).Find("newer_kind", "n");
+  REQUIRE(kept != nullptr);
+  CHECK(kept->GetReflection()->GetUnknownFields(*kept).field_count() == 1);
+
+  ChangeRecord deletion;
+  deletion.set_revision(2);
+  deletion.add_deletes()->set_kind("newer_kind");
+  deletion.mutable_deletes(0)->set_name("n");
+  REQUIRE(IsOk(ValueOf(loaded).Apply(deletion)));
+  CHECK(ValueOf(loaded).ToChunks().empty());
+}
+
 } // namespace plantainhaven
