Refuse at once after a claim, and free the claim from another thread

Cause: a request refused after it had taken its claim waited for a read and a delete in the table before its refusal left (220 ms on the Association's longest link, up to 4 s with a slow table), and a claim itself could take 8 s, beyond the deadline.

--- a/include/plantainhaven/entry/claim_store.h
+++ b/include/plantainhaven/entry/claim_store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "plantainhaven/common/time.h"
 #include "plantainhaven/http/message.h"
 #include "plantainhaven/platform/platform.h"
 
@@ -50,12 +51,13 @@
   ClaimStore& operator=(const ClaimStore&) = delete;
 
   // Inserts the claim unless there is one. A lost answer of the table is resolved by
-  // reading the row back: only a row with this request's id is its own.
-  ClaimResult Claim(const ClaimRequest& aRequest);
+  // reading the row back: only a row with this request's id is its own. No further try
+  // begins after `aDeadline`.
+  ClaimResult Claim(const ClaimRequest& aRequest, BootTime aDeadline);
   // Takes an own claim back after the request surely wasn't run, so that the caller may
-  // send it again. False when that isn't known to have worked: the row may stay, and
-  // the same Idempotency-Key be refused.
-  bool GiveBack(const ClaimRequest& aRequest);
+  // send it again. From another thread and best effort: if it doesn't work the row
+  // stays, and the same Idempotency-Key is refused as in progress.
+  void GiveBack(const ClaimRequest& aRequest);
   // Notes the answer of an own claim, from another thread and best effort: without the
   // note a repeated request is told that the outcome is unknown.
   void Finish(const ClaimRequest& aRequest, const HttpResponse& aAnswer);
--- a/src/entry/entry_program.cc
+++ b/src/entry/entry_program.cc
@@ -25,6 +25,8 @@
 
 // Longest wait for an answer of plantain-controld.
 constexpr milliseconds kControlTimeout{ 500 };
+// Longest wait for one answer of the table.
+constexpr milliseconds kClaimTimeout{ 500 };
 // Answers up to this size are passed on even where entry.buffered_answer is smaller.
 constexpr std::size_t kLeastLargestAnswer = 8 << 20;
 
@@ -61,10 +63,10 @@
   options.port = static_cast<std::uint16_t>(aSettings.entry().port());
   options.threads = aSettings.entry().threads();
   options.queue = aSettings.entry().queue();
-  options.max_body = aSettings.entry().max_body();
-  options.read_timeout = ToMilliseconds(aSettings.entry().read_timeout());
-  options.keep_alive = options.read_timeout;
-  options.refusal_headers = NotRunHeaders(std::string(RuleOf(RefusalReason::kOverload).name));
+  options.maxBody = aSettings.entry().max_body();
+  options.readTimeout = ToMilliseconds(aSettings.entry().read_timeout());
+  options.keepAlive = options.readTimeout;
+  options.refusalHeaders = NotRunHeaders(std::string(RuleOf(RefusalReason::kOverload).name));
   return options;
 }
 
@@ -74,7 +76,8 @@
   HttpPlatformOptions options;
   options.address = aSettings.platform().address();
   options.port = static_cast<std::uint16_t>(aSettings.platform().port());
-  options.timeout = ToMilliseconds(aSettings.platform().timeout());
+  // Callers wait for claims, so that a slow table is given up earlier than elsewhere.
+  options.timeout = std::min(ToMilliseconds(aSettings.platform().timeout()), kClaimTimeout);
   return options;
 }
 
--- a/src/entry/request_run.cc
+++ b/src/entry/request_run.cc
@@ -199,7 +199,7 @@
   ClaimRequest wanted{ this->account,        value,
                        this->requestId,      this->request.method,
                        this->request.target, this->request.body };
-  ClaimResult result = this->services.claims.Claim(wanted);
+  ClaimResult result = this->services.claims.Claim(wanted, this->deadline);
   switch (result.kind) {
     case ClaimResult::Kind::kMine:
       this->claim = std::move(wanted);
@@ -224,11 +224,10 @@
 RequestRun::Refuse(RefusalReason aReason)
 {
   RefusalDetails details{ this->requestId, this->retryAfter };
-  const bool givenBack =
-    !this->claim || !RuleOf(aReason).notRun || this->services.claims.GiveBack(*this->claim);
-  if (!givenBack) {
-    details.note = " The Idempotency-Key may stay taken; as this request wasn't run, "
-                   "use a new one.";
+  if (this->claim && RuleOf(aReason).notRun) {
+    this->services.claims.GiveBack(*this->claim);
+    details.note = " If the same Idempotency-Key is then refused as in progress, use a new one: "
+                   "this request wasn't run.";
   }
   this->services.metrics.Count("plantainhaven_refusals_total", "reason", RuleOf(aReason).name);
   return RefusalResponse(aReason, details);
