--- a/bench/budget_bench.cc
+++ b/bench/budget_bench.cc
@@ -32,6 +32,7 @@
 Members(int aCount)
 {
   std::vector<BudgetMember> members;
+  members.reserve(static_cast<std::size_t>(aCount));
   for (int i = 0; i < aCount; ++i) {
     const std::string name = "vm" + std::to_string(i);
     members.push_back(BudgetMember{ name, "tcp://" + name, "", 1, false });
@@ -43,6 +44,7 @@
 Accounts(int aCount, double aRate, double aBurst)
 {
   std::vector<BudgetSpec> specs;
+  specs.reserve(static_cast<std::size_t>(aCount));
   for (int i = 0; i < aCount; ++i) {
     specs.push_back(AccountBudget("account" + std::to_string(i), aRate, aBurst));
   }
--- a/test/entry/budget_service_test.cc
+++ b/test/entry/budget_service_test.cc
@@ -180,6 +180,7 @@
     std::this_thread::sleep_for(milliseconds(10));
   }
   std::vector<std::thread> threads;
+  threads.reserve(8);
   std::atomic<int> inUse{ 0 };
   std::atomic<int> most{ 0 };
   std::atomic<int> taken{ 0 };
--- a/test/policy/budget/random_schedule_test.cc
+++ b/test/policy/budget/random_schedule_test.cc
@@ -14,7 +14,7 @@
 
 constexpr milliseconds kStep{ 5 };
 constexpr int kSteps = 800;
-constexpr std::uint64_t kDefaultSeeds = 2000;
+constexpr std::uint64_t kDefaultSeeds = 4000;
 
 std::uint64_t
 Seeds()
--- a/test/policy/budget/shares_test.cc
+++ b/test/policy/budget/shares_test.cc
@@ -12,6 +12,7 @@
 Fleet(int aCount)
 {
   std::vector<BudgetMember> members;
+  members.reserve(static_cast<std::size_t>(aCount));
   for (int i = 0; i < aCount; ++i) {
     members.push_back(BudgetMember{ "vm" + std::to_string(i), "", "", 1, false });
   }
