--- a/test/policy/budget/fleet_model.h
+++ b/test/policy/budget/fleet_model.h
@@ -32,11 +32,6 @@
   BootTime acceptedAt = BootTime::max();
 };
 
-struct ModelUse
-{
-  BootTime endsAt{};
-};
-
 struct ModelVm
 {
   std::string name;
@@ -48,7 +43,8 @@
   std::uint64_t applied = 0;
   BootTime appliesNextAt{};
   BootTime knowsAcceptedAt{};
-  std::vector<ModelUse> uses;
+  // When each use of a slot ends.
+  std::vector<BootTime> uses;
 };
 
 // A few VMs with one budget, a manual clock and a faulty network. Configurations are
@@ -64,18 +60,13 @@
   {
   }
 
-  BudgetMembers Members(const std::vector<std::string>& aNames)
+  void AddRevision(const BudgetSpec& aSpec, const std::vector<std::string>& aMembers)
   {
     auto list = std::make_shared<std::vector<BudgetMember>>();
-    for (const std::string& name : aNames) {
+    for (const std::string& name : aMembers) {
       list->push_back(BudgetMember{ name, "tcp://" + name, "", 1, false });
     }
-    return list;
-  }
-
-  void AddRevision(const BudgetSpec& aSpec, const BudgetMembers& aMembers)
-  {
-    this->revisions.push_back(ModelRevision{ aSpec, aMembers });
+    this->revisions.push_back(ModelRevision{ aSpec, list });
     for (auto& [name, vm] : this->vms) {
       // Now and then a VM lags so far behind that its view goes stale.
       const std::int64_t longest = this->longestApply.count() * (this->Chance(0.3) ? 5 : 1);
@@ -136,7 +127,7 @@
   {
     const TakeResult result = aVm.ledger->TryTake(aAmount, this->LocalTime(aVm), aAttempt);
     if (result.Taken() && aUse.count() > 0) {
-      aVm.uses.push_back(ModelUse{ this->now + aUse });
+      aVm.uses.push_back(this->now + aUse);
     }
     return result;
   }
@@ -146,9 +137,8 @@
   {
     std::int64_t sum = 0;
     for (const auto& [name, vm] : this->vms) {
-      sum += std::count_if(vm.uses.begin(), vm.uses.end(), [this](const ModelUse& aUse) {
-        return aUse.endsAt > this->now;
-      });
+      sum += std::count_if(
+        vm.uses.begin(), vm.uses.end(), [&](BootTime aEnd) { return aEnd > this->now; });
     }
     return sum;
   }
@@ -157,11 +147,10 @@
   // count too.
   std::size_t OldestInForce(std::chrono::nanoseconds aLongestUse) const
   {
+    const std::chrono::nanoseconds wait = this->options.freshness + aLongestUse;
     std::size_t oldest = 0;
     for (std::size_t i = 1; i < this->revisions.size(); ++i) {
-      const BootTime accepted = this->revisions[i].acceptedAt;
-      if (accepted != BootTime::max() &&
-          accepted + this->options.freshness + aLongestUse <= this->now) {
+      if (this->revisions[i].acceptedAt <= this->now - wait) {
         oldest = i;
       }
     }
@@ -201,14 +190,9 @@
       aVm.ledger->OnConfiguration(aVm.applied, revision.spec, revision.members, local);
     }
     BudgetView view;
-    view.freshUntil = local + this->options.freshness;
-    if (aVm.applied < this->revisions.size()) {
-      const BootTime accepted = this->revisions[aVm.applied].acceptedAt;
-      if (accepted != BootTime::max()) {
-        view.freshUntil =
-          std::min(view.freshUntil, accepted + aVm.clockOffset + this->options.freshness);
-      }
-    }
+    const bool behind = aVm.applied < this->revisions.size();
+    const BootTime missed = behind ? this->revisions[aVm.applied].acceptedAt : this->now;
+    view.freshUntil = std::min(missed, this->now) + aVm.clockOffset + this->options.freshness;
     for (std::size_t i = 0; i < this->revisions.size(); ++i) {
       if (this->revisions[i].acceptedAt <= this->now) {
         view.acceptedRevision = i + 1;
@@ -221,13 +205,8 @@
 
   void EndUses(ModelVm& aVm)
   {
-    const auto ended = std::partition(aVm.uses.begin(), aVm.uses.end(), [&](const ModelUse& aUse) {
-      return aUse.endsAt > this->now;
-    });
-    for (auto use = ended; use != aVm.uses.end(); ++use) {
-      aVm.ledger->Release(kOneToken, this->LocalTime(aVm));
-    }
-    aVm.uses.erase(ended, aVm.uses.end());
+    const auto ended = std::erase_if(aVm.uses, [&](BootTime aEnd) { return aEnd <= this->now; });
+    aVm.ledger->Release(static_cast<TokenThousandths>(ended) * kOneToken, this->LocalTime(aVm));
   }
 
   void SendAll(const std::vector<BudgetMessage>& aMessages)
--- a/test/policy/budget/random_schedule_test.cc
+++ b/test/policy/budget/random_schedule_test.cc
@@ -142,7 +142,7 @@
   void AddRevision()
   {
     const std::vector<std::string> list(this->names.begin(), this->names.end());
-    this->model.AddRevision(this->spec, this->model.Members(list));
+    this->model.AddRevision(this->spec, list);
   }
 
   ModelVm& AnyVm()
--- a/test/policy/budget/skew_test.cc
+++ b/test/policy/budget/skew_test.cc
@@ -105,7 +105,7 @@
     for (int i = 1; i <= kVms; ++i) {
       names.push_back("vm" + std::to_string(i));
     }
-    this->model.AddRevision(this->spec, this->model.Members(names));
+    this->model.AddRevision(this->spec, names);
     this->model.revisions.back().acceptedAt = this->model.now;
     for (const std::string& name : names) {
       this->model.StartVm(name);
