--- a/include/plantainhaven/http/client.h
+++ b/include/plantainhaven/http/client.h
@@ -35,7 +35,8 @@
 
 // One HTTP/1.1 connection, with one exchange in flight at a time. After any failure
 // the connection is closed, so that a late answer can't reach another request.
-// Never sends a request twice by itself. Not safe for several threads at once.
+// Never sends a request twice by itself. Not safe for several threads at once. An
+// answer with trailers counts as broken, since cpp-httplib 0.11 reads none.
 class HttpConnection
 {
 public:
