--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -208,6 +208,28 @@
     "$(lookup_url "$1")/v1/lookup?service=$2"
 }
 
+# usable_vms VM: how many VMs its look-ups may name; a VM that has just joined is one
+# only when its shares of the budgets can be used.
+usable_vms() {
+  curl --silent --fail --max-time 2 "$(lookup_url "$1")/.plantainhaven/metrics" |
+    sed -n 's/^plantainhaven_usable_vms //p'
+}
+
+knows_usable() {
+  [ "$(usable_vms "$1")" = "$2" ]
+}
+
+# wait_established [SECONDS]: waits until every VM names all of them.
+wait_established() {
+  local vm
+  for vm in "${vms[@]}"; do
+    if ! wait_until "${1:-120}" knows_usable "$vm" "${#vms[@]}"; then
+      echo "$vm knows $(usable_vms "$vm") of ${#vms[@]} usable VMs" >&2
+      return 1
+    fi
+  done
+}
+
 # targets VM SERVICE: names of the VMs in a look-up answer, one a line.
 targets() {
   curl --silent --fail --max-time 2 "$(lookup_url "$1")/v1/lookup?service=$2" |
