Withhold a starting VM until its own shares are settled, whoever asks whom

Cause: the first try counted a VM as ready once it had borrowed anything, and a voter's answers still told peers that its VM is fresh, so look-ups named a restarted VM after 0.9 s. The price is about 10 s during which the VM isn't named: T, the longest grant and the longest request.

--- a/include/plantainhaven/policy/budget/ledger.h
+++ b/include/plantainhaven/policy/budget/ledger.h
@@ -156,6 +156,9 @@
   TokenThousandths Available(BootTime aNow) const;
   // What is in use of a concurrency budget.
   TokenThousandths InUse() const;
+  // True when this VM's own share, which may be none, is in force: no earlier process can
+  // still have it lent or in use, and a split is known to hold everywhere.
+  bool Settled(BootTime aNow) const;
   // The share in force now.
   Share CurrentShare(BootTime aNow) const;
   const LedgerCounts& Counts() const;
--- a/src/entry/budget_registry.cc
+++ b/src/entry/budget_registry.cc
@@ -136,11 +136,11 @@
       }
     }
   }
-  const bool usable = std::any_of(slots.begin(), slots.end(), [aNow](const auto& aEntry) {
+  const bool settled = std::all_of(slots.begin(), slots.end(), [aNow](const auto& aEntry) {
     const std::lock_guard entryLock(aEntry->mutex);
-    return aEntry->ledger.Available(aNow) + aEntry->ledger.InUse() > 0;
+    return aEntry->ledger.Settled(aNow);
   });
-  return usable || slots.empty();
+  return settled;
 }
 
 void
--- a/src/entry/budget_registry.h
+++ b/src/entry/budget_registry.h
@@ -54,7 +54,7 @@
   LedgerEntryPointer Find(const LedgerId& aId) const;
   std::vector<LedgerEntryPointer> All() const;
 
-  // True when some region's slots are to be had or in use, or no ledger is for slots.
+  // True when this VM's own shares of all regions' slots are in force.
   bool Established(BootTime aNow) const;
 
   // Applies a revision: adds, changes and drops ledgers.
--- a/src/policy/budget/ledger.cc
+++ b/src/policy/budget/ledger.cc
@@ -122,6 +122,12 @@
   return this->impl->pool->InUse();
 }
 
+bool
+Ledger::Settled(BootTime aNow) const
+{
+  return aNow >= this->impl->lentBefore && this->impl->history.Settled(aNow);
+}
+
 Share
 Ledger::CurrentShare(BootTime aNow) const
 {
--- a/src/policy/budget/share_history.cc
+++ b/src/policy/budget/share_history.cc
@@ -77,6 +77,13 @@
   }
 }
 
+bool
+ShareHistory::Settled(BootTime aNow)
+{
+  this->DropSuperseded(aNow);
+  return !this->splits.empty() && this->Ripe(this->splits.front(), aNow);
+}
+
 Share
 ShareHistory::Current(BootTime aNow)
 {
--- a/src/policy/budget/share_history.h
+++ b/src/policy/budget/share_history.h
@@ -31,6 +31,8 @@
 
   // The share in force.
   Share Current(BootTime aNow);
+  // True when some split is known to hold everywhere.
+  bool Settled(BootTime aNow);
   // When the share in force may change by itself; the largest time when never.
   BootTime NextChange(BootTime aNow) const;
   // True when the budget is absent and no VM can still be using any split of it.
--- a/src/policy/view/fleet_view_impl.cc
+++ b/src/policy/view/fleet_view_impl.cc
@@ -92,6 +92,7 @@
   answer.set_accepted_revision(this->acceptance.Accepted());
   answer.set_applied_revision(this->applied);
   answer.set_leaving(this->leaving);
+  answer.set_withheld(!this->serving);
   answer.set_asker_incarnation(aMessage.from_incarnation());
   if (aNow < FreshUntil()) {
     const auto age = std::chrono::ceil<std::chrono::microseconds>(aNow - *this->evidence.Newest());
@@ -124,7 +125,8 @@
   if (answer.has_evidence() && age.count() >= 0 && age <= this->options.freshness) {
     this->evidence.OnFact(*askedAt - WithDrift(age), answer.evidence_head(), this->applied);
   }
-  const MemberReport report{ answer.applied_revision(), answer.has_evidence(), answer.leaving() };
+  const bool fresh = answer.has_evidence() && !answer.withheld();
+  const MemberReport report{ answer.applied_revision(), fresh, answer.leaving() };
   this->health.OnReport(aMessage.from(), report, aNow);
   this->health.OnAnswered(aMessage.from());
   Count(aNow);
--- a/test/policy/budget/ledger_test.cc
+++ b/test/policy/budget/ledger_test.cc
@@ -106,6 +106,24 @@
   CHECK(slots.Available(kStart + seconds(11)) == 2 * kOneToken);
 }
 
+TEST_CASE("A ledger is settled when its lock has ended and a split is accepted")
+{
+  const BudgetSpec spec = RegionSlotsBudget("s", "r", 100, seconds(6));
+  // The longest grant and use of an earlier process, and T before a first split counts.
+  constexpr seconds kLock{ 7 };
+  constexpr seconds kFirstSplit{ 10 };
+  Ledger restarted = Ready("a", spec, Members({ "a", "b" }));
+  CHECK_FALSE(restarted.Settled(kStart + kLock - milliseconds(1)));
+  CHECK(restarted.Settled(kStart + kLock));
+
+  Ledger joining(spec.id, Options("a"), kStart);
+  joining.OnConfiguration(1, spec, Members({ "a", "b" }), kStart);
+  CHECK_FALSE(joining.Settled(kStart + std::chrono::hours(1)));
+  joining.OnView(BudgetView{ 1, kStart, BootTime::max() }, kStart);
+  CHECK_FALSE(joining.Settled(kStart + kFirstSplit - milliseconds(1)));
+  CHECK(joining.Settled(kStart + kFirstSplit));
+}
+
 TEST_CASE("A share shrinks at once and grows when nobody can use the old split")
 {
   const BudgetMembers members = Members({ "a" });
--- a/test/policy/view/fleet_view_test.cc
+++ b/test/policy/view/fleet_view_test.cc
@@ -281,6 +281,28 @@
   CHECK(fleet["a"].SilentEndpoints(At(100s)).empty());
 }
 
+TEST_CASE("A VM that doesn't serve is fresh for nobody, whoever asks whom", "[view]")
+{
+  const bool isAsker = GENERATE(true, false);
+  CAPTURE(isAsker);
+  Fleet fleet({ "a", "b", "c" });
+  fleet.ReadTable(0, At(0s));
+  const std::string withheld = isAsker ? "a" : "b";
+  const std::string other = isAsker ? "b" : "a";
+  const auto isFresh = [&](BootTime aNow) {
+    const std::vector<MemberHealth> members = fleet[other].Members(aNow);
+    return std::any_of(members.begin(), members.end(), [&](const MemberHealth& aMember) {
+      return aMember.name == withheld && aMember.fresh;
+    });
+  };
+  fleet[withheld].SetServing(false);
+  fleet.Ask("a", { "b" }, At(100ms));
+  CHECK_FALSE(isFresh(At(100ms)));
+  fleet[withheld].SetServing(true);
+  fleet.Ask("a", { "b" }, At(1s));
+  CHECK(isFresh(At(1s)));
+}
+
 TEST_CASE("A silent connection is named once for each silence", "[view]")
 {
   Fleet fleet({ "a", "b", "c" });
