Let only voters read the platform's VM list

Cause: every VM read the list each second: 740 reads/s at the size to design for, of about 2,000 that the platform gives. Only voters judge members dead. After, worked out: 23 reads/s. With up to 15 VMs all are voters, so nothing changes today. Run: control_test, passed.

--- a/src/control/configuration_store.cc
+++ b/src/control/configuration_store.cc
@@ -231,7 +231,7 @@
     const auto found = known.find(digest);
     std::string object = found != known.end() ? found->second : kChunkPrefix + RandomId();
     if (found == known.end()) {
-      const Result<Done> stored = this->objects.Put(object, chunk);
+      Result<Done> stored = this->objects.Put(object, chunk);
       if (!IsOk(stored)) {
         return stored;
       }
--- a/src/control/control_follow.cc
+++ b/src/control/control_follow.cc
@@ -145,6 +145,13 @@
   }
 }
 
+bool
+ControlLoop::IsVoter() const
+{
+  const std::vector<std::string> voters = this->view->Voters();
+  return std::find(voters.begin(), voters.end(), this->settings.vm().name()) != voters.end();
+}
+
 void
 ControlLoop::PollTable(BootTime aNow)
 {
@@ -153,10 +160,7 @@
   }
   this->nextTableRead = aNow + ToChrono(this->settings.view().table_interval());
   // Where voters give evidence the others needn't load the table.
-  const std::vector<std::string> voters = this->view->Voters();
-  const bool voter =
-    std::find(voters.begin(), voters.end(), this->settings.vm().name()) != voters.end();
-  if (!voter && aNow < this->view->FreshUntil()) {
+  if (!this->IsVoter() && aNow < this->view->FreshUntil()) {
     return;
   }
   this->headWorker.TryPost([this] {
@@ -179,7 +183,8 @@
 void
 ControlLoop::PollVmList(BootTime aNow)
 {
-  if (aNow < this->nextVmList) {
+  // Only voters decide that a member is dead.
+  if (aNow < this->nextVmList || !this->IsVoter()) {
     return;
   }
   this->nextVmList = aNow + kVmListInterval;
--- a/src/control/control_loop.h
+++ b/src/control/control_loop.h
@@ -66,6 +66,7 @@
   void FetchWhenBehind(BootTime aNow);
   void FetchFromTable();
   void AskPeerForTail(BootTime aNow);
+  bool IsVoter() const;
   void PollTable(BootTime aNow);
   void PollVmList(BootTime aNow);
   void WriteSnapshotWhenDue(BootTime aNow);
