--- a/include/plantainhaven/entry/budget_service.h
+++ b/include/plantainhaven/entry/budget_service.h
@@ -69,8 +69,8 @@
   // What could be taken now without waiting; 0 for an unknown budget.
   TokenThousandths Available(const LedgerId& aId, BootTime aNow) const;
 
-  // True when this VM's own shares of all regions' slots are in force. A process that starts can only borrow until its predecessor's grants have lapsed
-  // and the fleet has accepted it.
+  // True when this VM's own shares of all regions' slots are in force. A process that starts can
+  // only borrow until its predecessor's grants have lapsed and the fleet has accepted it.
   bool Established(BootTime aNow) const;
 
   // One round of the budget thread: handles messages that come within `aLongestWait`
