Let requests wait for slots that are in use, also at the start

Cause: when no other VM can lend, only as much may wait as was served lately; a VM that had just started had served nothing, so a request was refused at once although the slots in use were about to come free. Ruled out: lost wake-ups; the refused calls never waited. A test with a manual clock shows it every time; with the rule broken again it prints CHECK( ledger.MayArrive(...) ) with false.

--- a/src/policy/budget/ledger_take.cc
+++ b/src/policy/budget/ledger_take.cc
@@ -199,9 +199,12 @@
 bool
 Ledger::Impl::FitsInQueue(TokenThousandths aAmount, nanoseconds aLongestWait) const
 {
-  const TokenThousandths usual = this->demand.Served(aLongestWait);
-  const TokenThousandths most = this->lenders.KnownShort() ? usual : this->spec.capacity;
-  return aAmount <= most;
+  if (!this->lenders.KnownShort()) {
+    return aAmount <= this->spec.capacity;
+  }
+  // Each slot in use here comes free again, also when none has been served so far.
+  const TokenThousandths released = this->concurrency ? this->pool->InUse() : 0;
+  return aAmount <= std::max(released, this->demand.Served(aLongestWait));
 }
 
 nanoseconds
--- a/test/policy/budget/ledger_test.cc
+++ b/test/policy/budget/ledger_test.cc
@@ -124,6 +124,16 @@
   CHECK(joining.Settled(kStart + kFirstSplit));
 }
 
+TEST_CASE("As many may wait for slots as are in use, even when none was served before")
+{
+  const BudgetSpec spec = RegionSlotsBudget("s", "r", 4, milliseconds(1));
+  Ledger ledger = Ready("a", spec, Members({ "a" }));
+  const BootTime now = kStart + seconds(10);
+  REQUIRE(TakeAll(ledger, now) == 4 * kOneToken);
+  CHECK(ledger.MayArrive(kOneToken, now, seconds(30), 3 * kOneToken));
+  CHECK_FALSE(ledger.MayArrive(kOneToken, now, seconds(30), 4 * kOneToken));
+}
+
 TEST_CASE("A share shrinks at once and grows when nobody can use the old split")
 {
   const BudgetMembers members = Members({ "a" });
