--- a/src/common/digest.cc
+++ b/src/common/digest.cc
@@ -6,6 +6,7 @@
 #include <stdexcept>
 
 #include <openssl/crypto.h>
+#include <openssl/evp.h>
 #include <openssl/rand.h>
 #include <openssl/sha.h>
 
@@ -31,6 +32,14 @@
   return text;
 }
 
+// OpenSSL's SHA-256, looked up once: the lookup costs more than a short digest.
+const EVP_MD*
+Sha256Method()
+{
+  static const EVP_MD* const kMethod = EVP_MD_fetch(nullptr, "SHA256", nullptr);
+  return kMethod;
+}
+
 template<std::size_t Size>
 std::string
 RandomHex()
@@ -48,7 +57,10 @@
 Sha256Hex(std::string_view aBytes)
 {
   std::array<std::uint8_t, SHA256_DIGEST_LENGTH> digest{};
-  SHA256(reinterpret_cast<const std::uint8_t*>(aBytes.data()), aBytes.size(), digest.data());
+  if (EVP_Digest(aBytes.data(), aBytes.size(), digest.data(), nullptr, Sha256Method(), nullptr) !=
+      1) {
+    throw std::runtime_error("OpenSSL computed no SHA-256");
+  }
   return Hex(digest);
 }
 
