--- a/src/programs/plantainctl/commands.h
+++ b/src/programs/plantainctl/commands.h
@@ -23,7 +23,7 @@
 const std::vector<Command>&
 Commands();
 
-// Finds the command that the session's words name, checks the number of its arguments
+// Finds the command that the command line's words name, checks the number of its arguments
 // and runs it.
 ExitCode
 RunCommand(Session& aSession);
