--- a/src/load/bounds.cc
+++ b/src/load/bounds.cc
@@ -38,14 +38,16 @@
   aReport.add_broken_bounds(text.data());
 }
 
+using Milliseconds = std::chrono::duration<double, std::milli>;
+
 void
 CheckTime(const char* aName,
-          double aMeasuredMs,
+          Milliseconds aMeasured,
           const google::protobuf::Duration& aBound,
           LoadReport& aReport)
 {
-  const std::chrono::duration<double, std::milli> bound = ToChrono(aBound);
-  CheckBound(aName, aMeasuredMs, bound.count(), "ms", aReport);
+  const Milliseconds bound = ToChrono(aBound);
+  CheckBound(aName, aMeasured.count(), bound.count(), "ms", aReport);
 }
 
 void
@@ -53,13 +55,13 @@
 {
   const LatencySummary latency = aReport.latency();
   if (aBounds.has_p50()) {
-    CheckTime("bounds.p50", latency.p50_ms(), aBounds.p50(), aReport);
+    CheckTime("bounds.p50", Milliseconds(latency.p50_ms()), aBounds.p50(), aReport);
   }
   if (aBounds.has_p99()) {
-    CheckTime("bounds.p99", latency.p99_ms(), aBounds.p99(), aReport);
+    CheckTime("bounds.p99", Milliseconds(latency.p99_ms()), aBounds.p99(), aReport);
   }
   if (aBounds.has_p999()) {
-    CheckTime("bounds.p999", latency.p999_ms(), aBounds.p999(), aReport);
+    CheckTime("bounds.p999", Milliseconds(latency.p999_ms()), aBounds.p999(), aReport);
   }
 }
 
@@ -74,7 +76,7 @@
     aReport.add_broken_bounds("bounds.drain: the server was not drained before the end");
     return;
   }
-  CheckTime("bounds.drain", aReport.drain_ms(), bounds.drain(), aReport);
+  CheckTime("bounds.drain", Milliseconds(aReport.drain_ms()), bounds.drain(), aReport);
 }
 
 void
--- a/test/entry/request_faults_test.cc
+++ b/test/entry/request_faults_test.cc
@@ -39,7 +39,7 @@
   add("over-long", [](BackendFault& aFault) { aFault.set_over_long_bytes(6 << 20); });
   for (const FaultCase& entry : cases) {
     CAPTURE(entry.what, entry.withClaim);
-    RequestFixture fixture(2, 150);
+    RequestFixture fixture(2, std::chrono::milliseconds(150));
     // Kept connections from before the fault.
     fixture.handler.Handle(RequestFixture::Ask("GET", "/open/1", ""));
     fixture.SetFaults(entry.fault);
@@ -112,7 +112,7 @@
 
 TEST_CASE("when all kept connections went silent, requests go over new ones at once")
 {
-  RequestFixture fixture(1, 5000);
+  RequestFixture fixture(1, std::chrono::milliseconds(5000));
   REQUIRE(fixture.handler.Handle(RequestFixture::Ask("GET", "/pages/1")).status == 200);
   REQUIRE(fixture.pool.IdleCount() == 1);
   BackendFault fault;
@@ -127,7 +127,7 @@
 
 TEST_CASE("a non-idempotent request doesn't use a kept connection without proof of life")
 {
-  RequestFixture fixture(1, 5000);
+  RequestFixture fixture(1, std::chrono::milliseconds(5000));
   REQUIRE(fixture.handler.Handle(RequestFixture::Ask("GET", "/pages/1")).status == 200);
   const auto tables = fixture.view.Tables();
   const ServerEntry& server = tables->FindService("s")->regions[0].servers[0];
@@ -145,7 +145,7 @@
 TEST_CASE("an answer that only ends with its connection isn't taken for whole")
 {
   const bool tellsLength = GENERATE(true, false);
-  RequestFixture fixture(0, 2000);
+  RequestFixture fixture(0, std::chrono::milliseconds(2000));
   // A server by hand, for libraries always tell an answer's length.
   const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
--- a/test/entry/request_fixture.h
+++ b/test/entry/request_fixture.h
@@ -76,9 +76,10 @@
 class RequestFixture
 {
 public:
-  explicit RequestFixture(std::size_t aServers = 2, int aTimeoutMs = 1000)
+  explicit RequestFixture(std::size_t aServers = 2,
+                          std::chrono::milliseconds aTimeout = std::chrono::seconds(1))
   {
-    this->config.AddService("s", aTimeoutMs);
+    this->config.AddService("s", static_cast<int>(aTimeout.count()));
     for (std::size_t i = 0; i < aServers; ++i) {
       this->AddServer();
     }
