Let a server go at once when only this VM was cut off from the store

Change: reports between VMs say how long the store has answered; a missing row counts at once when another VM had answers all along. Waiters that arrive together now have an order (found by waiting_line_test).

--- a/src/edge/edge_program.cc
+++ b/src/edge/edge_program.cc
@@ -90,7 +90,11 @@
   , fleetClient(this->MakeClient())
   , listener(this->MakeStoreListener())
   , operatorRows(this->listener)
-  , serverRows(this->listener, aRegions)
+  , serverRows(this->listener,
+               aRegions,
+               [this] {
+                 return this->fleet.HasStoreContact(placing::ServerRegistry::kReturnTime);
+               })
   , operatorFollower(this->controlContext,
                      *this->operatorClient,
                      { .table = platform::kOperatorTable,
--- a/src/edge/fleet.cc
+++ b/src/edge/fleet.cc
@@ -193,6 +193,16 @@
   return aMember.heardAt != BootTime{} && aNow - aMember.heardAt < kSilent;
 }
 
+bool
+Fleet::HasStoreContact(std::chrono::milliseconds aTime) const
+{
+  const BootTime now = BootClock::Now();
+  return std::any_of(this->members.begin(), this->members.end(), [&](const auto& aEntry) {
+    const std::chrono::milliseconds contact(aEntry.second.report.store_contact_ms());
+    return this->IsHeard(aEntry.second, now) && contact >= aTime;
+  });
+}
+
 void
 Fleet::PublishView()
 {
--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -43,6 +43,9 @@
   Result<Done> Start();
   // Sends a message of the traffic thread.
   void Send(const std::string& aEndpoint, Envelope aMessage);
+  // True when a VM that was heard lately has had answers from the store for at least
+  // `aTime`.
+  bool HasStoreContact(std::chrono::milliseconds aTime) const;
   // Tells all VMs how this one is.
   void Report(VmReport aReport);
 
--- a/src/edge/names.h
+++ b/src/edge/names.h
@@ -6,6 +6,7 @@
 #include "plantainhaven/policy/placing/rendezvous.h"
 #include "plantainhaven/policy/placing/retry_allowance.h"
 #include "plantainhaven/policy/placing/routing.h"
+#include "plantainhaven/policy/placing/server_registry.h"
 #include "plantainhaven/policy/placing/token_bank.h"
 #include "plantainhaven/policy/placing/waiting_line.h"
 
--- a/src/edge/store_follower.cc
+++ b/src/edge/store_follower.cc
@@ -9,10 +9,7 @@
 namespace {
 
 // Pause after a call that failed.
-constexpr std::chrono::milliseconds kRetryPause{ 250 };
-// Servers that live report again within two seconds of the store's return; the rest is for
-// their way here.
-constexpr std::chrono::milliseconds kReturnTime{ 2300 };
+constexpr std::chrono::milliseconds kRetryPause{ 200 };
 
 } // namespace
 
@@ -64,6 +61,20 @@
     this->reader.onRegained();
   }
   this->isLost = aError != nullptr;
+  if (this->isLost) {
+    this->contactSince = BootTime{};
+  } else if (this->contactSince == BootTime{}) {
+    this->contactSince = BootClock::Now();
+  }
+}
+
+std::chrono::milliseconds
+TableFollower::ContactTime() const
+{
+  if (this->contactSince == BootTime{}) {
+    return std::chrono::milliseconds(0);
+  }
+  return ToMilliseconds(BootClock::Now() - this->contactSince);
 }
 
 Task<bool>
@@ -185,57 +196,49 @@
   this->listener.onAvoidedDomains({ this->avoided.begin(), this->avoided.end() });
 }
 
-ServerRows::ServerRows(const StoreListener& aListener, const platform::RegionByDomain& aRegions)
+ServerRows::ServerRows(const StoreListener& aListener,
+                       const platform::RegionByDomain& aRegions,
+                       std::function<bool()> aStoreStayedUp)
   : listener(aListener)
   , regions(aRegions)
+  , storeStayedUp(std::move(aStoreStayedUp))
 {
 }
 
 TableFollower::Reader
 ServerRows::MakeReader()
 {
-  return { .onReset = [this] { this->OnReset(); },
+  return { .onReset = [this] { this->registry.BeginRead(); },
            .onRow = [this](const platform::StoreRow& aRow) { this->OnRow(aRow); },
            .onRound = [this] { this->OnRound(); },
-           .onRegained = [this] { this->keepMissingUntil = BootClock::Now() + kReturnTime; } };
-}
-
-void
-ServerRows::OnReset()
-{
-  this->missing.insert(this->servers.begin(), this->servers.end());
-  this->servers.clear();
-  this->isChanged = true;
+           .onRegained = [this] { this->registry.OnStoreRegained(BootClock::Now()); } };
 }
 
 void
 ServerRows::OnRow(const platform::StoreRow& aRow)
 {
-  this->isChanged = true;
-  const auto known = this->servers.find(aRow.key);
   if (aRow.isRemoved) {
-    if (known != this->servers.end()) {
-      Log(LogLevel::kInfo, "server_row_removed", { { "server", aRow.key } });
-      this->missing.insert(*known);
-      this->servers.erase(known);
-    }
+    Log(LogLevel::kInfo,
+        "server_row_removed",
+        { { "server", aRow.key }, { "row", aRow.version } });
+    this->registry.OnRemoved(aRow.key);
     return;
   }
-  const Result<BackendServer> decoded = platform::DecodeServer(aRow.key, aRow.value, this->regions);
+  const Result<BackendServer> decoded =
+    platform::DecodeServer(aRow.key, aRow.value, this->regions);
   if (!IsOk(decoded)) {
     if (this->unreadable.insert(aRow.key).second) {
       Log(LogLevel::kWarning,
           "server_unreadable",
           { { "server", aRow.key }, { "error", ErrorOf(decoded).message } });
     }
-    this->servers.erase(aRow.key);
-    this->missing.erase(aRow.key);
+    this->registry.OnUnreadable(aRow.key);
     return;
   }
   const BackendServer& server = ValueOf(decoded);
-  const bool isNews = known == this->servers.end() ||
-                      known->second.isDraining != server.isDraining ||
-                      known->second.startedAtUnixMs != server.startedAtUnixMs;
+  const BackendServer* const known = this->registry.Find(server.id);
+  const bool isNews = known == nullptr || known->isDraining != server.isDraining ||
+                      known->startedAtUnixMs != server.startedAtUnixMs;
   if (isNews) {
     Log(LogLevel::kInfo,
         "server",
@@ -244,30 +247,19 @@
           { "failure_domain", server.failureDomain },
           { "draining", server.isDraining },
           { "warmup_ms", server.warmupLeft.count() },
+          { "started_ms", server.startedAtUnixMs },
           { "row", aRow.version } });
   }
-  this->missing.erase(aRow.key);
-  this->servers[aRow.key] = server;
+  this->registry.OnReport(server);
 }
 
 void
 ServerRows::OnRound()
 {
-  if (!this->missing.empty() && BootClock::Now() >= this->keepMissingUntil) {
-    this->missing.clear();
-    this->isChanged = true;
-  }
-  if (!this->isChanged) {
-    return;
-  }
-  this->isChanged = false;
-  std::vector<BackendServer> all;
-  for (const auto* part : { &this->servers, &this->missing }) {
-    for (const auto& [id, server] : *part) {
-      all.push_back(server);
-    }
+  const BootTime now = BootClock::Now();
+  if (auto servers = this->registry.TakeChanges(this->storeStayedUp(), now)) {
+    this->listener.onServers(std::move(*servers), now);
   }
-  this->listener.onServers(std::move(all), BootClock::Now());
 }
 
 } // namespace plantainhaven::edge
--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -54,6 +54,8 @@
                 Reader aReader);
   // Runs until the context ends.
   Task<void> Run();
+  // How long the store has answered every call; zero while it doesn't.
+  std::chrono::milliseconds ContactTime() const;
 
 private:
   Task<bool> ReadAll();
@@ -67,6 +69,7 @@
   bool isWhole = false;
   bool isLost = false;
   std::uint64_t version = 0;
+  BootTime contactSince{};
 };
 
 // What the operator wrote: configuration and failure domains to be emptied.
@@ -87,27 +90,26 @@
   std::set<std::string> published;
 };
 
-// What the backend servers wrote. A server whose row went while the store was away, or
-// shortly after, is kept until it had time to report again.
+// What the backend servers wrote.
 class ServerRows
 {
 public:
-  ServerRows(const StoreListener& aListener, const platform::RegionByDomain& aRegions);
+  // `aStoreStayedUp` tells whether another VM had answers from the store all along.
+  ServerRows(const StoreListener& aListener,
+             const platform::RegionByDomain& aRegions,
+             std::function<bool()> aStoreStayedUp);
   TableFollower::Reader MakeReader();
 
 private:
-  void OnReset();
   void OnRow(const platform::StoreRow& aRow);
   void OnRound();
 
   const StoreListener& listener;
   const platform::RegionByDomain& regions;
-  std::map<std::string, BackendServer> servers;
-  // Servers without a row, kept until the store has been back long enough.
-  std::map<std::string, BackendServer> missing;
-  BootTime keepMissingUntil{};
+  std::function<bool()> storeStayedUp;
+  placing::ServerRegistry registry;
+  // Rows that were found unreadable and logged.
   std::set<std::string> unreadable;
-  bool isChanged = false;
 };
 
 } // namespace plantainhaven::edge
--- a/src/policy/placing/waiting_line.cc
+++ b/src/policy/placing/waiting_line.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace plantainhaven::placing {
 namespace {
@@ -28,7 +29,7 @@
   if (leftLate != rightLate) {
     return rightLate;
   }
-  return aLeft.arrivedAt < aRight.arrivedAt;
+  return std::pair(aLeft.arrivedAt, aLeft.id) < std::pair(aRight.arrivedAt, aRight.id);
 }
 
 } // namespace
--- /dev/null
+++ b/test/policy/placing/fleet_rules_test.cc
@@ -0,0 +1,125 @@
+#include "plantainhaven/policy/placing/caller_directory.h"
+#include "plantainhaven/policy/placing/quota_parts.h"
+#include "plantainhaven/policy/placing/retry_allowance.h"
+#include "plantainhaven/policy/placing/routing.h"
+
+#include <catch2/catch.hpp>
+#include <numeric>
+
+namespace plantainhaven::placing {
+namespace {
+
+TEST_CASE("Callers are sent to the VMs of their region, the nearest first")
+{
+  const std::vector<EntryVm> vms{ { "1", "a:1", "north", "north-b" },
+                                  { "2", "a:2", "north", "north-a" },
+                                  { "3", "a:3", "south", "south-a" } };
+  struct Case
+  {
+    std::string region;
+    std::string domain;
+    std::size_t most;
+    std::vector<std::string> expected;
+  };
+  const Case cases[] = {
+    { "north", "north-a", 64, { "a:2", "a:1" } },
+    { "south", "south-b", 64, { "a:3" } },
+    { "west", "west-a", 64, { "a:1", "a:2", "a:3" } },
+    { "north", "north-b", 1, { "a:1" } },
+  };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.region, entry.domain);
+    CHECK(AddressesFor(vms, entry.region, entry.domain, entry.most) == entry.expected);
+  }
+  CHECK(AddressesFor({}, "north", "north-a", 64).empty());
+}
+
+TEST_CASE("The whole of the limits is shared once and keeps its sum")
+{
+  std::vector<QuotaPart> parts{ { "a", kWholeQuota }, { "b", 0 }, { "c", 0 }, { "d", 0 } };
+  const auto shared = ShareQuota(parts, "a", 90);
+  REQUIRE(shared);
+  CHECK(shared->size() == 4);
+  CHECK(shared->front().vm == "a");
+  std::uint32_t sum = 0;
+  for (const QuotaPart& part : *shared) {
+    CHECK(part.millionths == kWholeQuota / 4);
+    sum += part.millionths;
+  }
+  CHECK(sum == kWholeQuota);
+}
+
+TEST_CASE("A VM with a usual part gives nothing away")
+{
+  struct Case
+  {
+    std::string name;
+    std::vector<QuotaPart> parts;
+  };
+  const Case cases[] = {
+    { "one joins four",
+      { { "a", 250000 }, { "b", 250000 }, { "c", 250000 }, { "d", 250000 }, { "e", 0 } } },
+    { "alone", { { "a", kWholeQuota } } },
+    { "not listed", { { "b", kWholeQuota }, { "c", 0 } } },
+  };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.name);
+    CHECK_FALSE(ShareQuota(entry.parts, "a", 90));
+  }
+}
+
+TEST_CASE("Repeats stay below their part of the first sends")
+{
+  RetryAllowance allowance(0.2, 2);
+  CHECK_FALSE(allowance.TryRepeat());
+  int repeats = 0;
+  for (int i = 0; i < 100; ++i) {
+    allowance.OnFirstSend();
+    repeats += allowance.TryRepeat() ? 1 : 0;
+  }
+  CHECK(repeats <= 20);
+  CHECK(repeats >= 19);
+}
+
+TEST_CASE("The longest prefix of a host selects the route")
+{
+  Routing routing;
+  for (const char* prefix : { "/", "/a/", "/a/b/" }) {
+    Route route;
+    route.name = prefix;
+    route.prefix = prefix;
+    routing.AddRoute("shop.example", route);
+  }
+  struct Case
+  {
+    std::string host;
+    std::string path;
+    std::string expected;
+  };
+  const Case cases[] = {
+    { "shop.example", "/a/b/c", "/a/b/" },
+    { "shop.example", "/a/x", "/a/" },
+    { "shop.example", "/a", "/" },
+    { "other.example", "/a/b/", "" },
+  };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.host, entry.path);
+    const Route* const route = routing.FindRoute(entry.host, entry.path);
+    CHECK((route == nullptr ? std::string() : route->name) == entry.expected);
+  }
+}
+
+TEST_CASE("A key belongs to one account")
+{
+  Routing routing;
+  routing.accounts.resize(2);
+  routing.accounts[1].name = "second";
+  CHECK(routing.AddKey("k", 1));
+  CHECK(routing.AddKey("k", 1));
+  CHECK_FALSE(routing.AddKey("k", 0));
+  CHECK(routing.FindAccount("k")->name == "second");
+  CHECK(routing.FindAccount("other") == nullptr);
+}
+
+} // namespace
+} // namespace plantainhaven::placing
--- /dev/null
+++ b/test/policy/placing/placement_test.cc
@@ -0,0 +1,210 @@
+#include "policy/placing/placing_support.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+namespace plantainhaven::placing {
+namespace {
+
+using std::chrono::milliseconds;
+
+std::vector<BackendServer>
+TenServers()
+{
+  std::vector<BackendServer> servers;
+  for (int i = 0; i < 10; ++i) {
+    servers.push_back(MakeServer("s" + std::to_string(i)));
+  }
+  return servers;
+}
+
+std::string
+ChosenId(Placement& aPlacement, std::uint64_t aObject, BootTime aNow)
+{
+  const Placing placing = aPlacement.Choose(MakeRequest(aObject), aNow);
+  return placing.state == PlacingState::kSend ? placing.server->id : std::string();
+}
+
+std::unordered_map<std::string, Service>
+PortalWithWarmup(double aRate)
+{
+  Service service;
+  service.name = "portal";
+  service.warmupRate = aRate;
+  return { { "portal", service } };
+}
+
+TEST_CASE("VMs of a region send an object to the same server")
+{
+  Placement first("vm-1", "north");
+  Placement second("vm-2", "north");
+  first.SetServers(TenServers(), At(milliseconds(0)));
+  second.SetServers(TenServers(), At(milliseconds(0)));
+  std::set<std::string> used;
+  for (std::uint64_t object = 0; object < 200; ++object) {
+    const std::string id = ChosenId(first, object, At(milliseconds(1)));
+    CHECK(id == ChosenId(second, object, At(milliseconds(1))));
+    used.insert(id);
+  }
+  CHECK(used.size() == 10);
+}
+
+TEST_CASE("A server that leaves moves only its own objects")
+{
+  Placement placement("vm-1", "north");
+  placement.SetServers(TenServers(), At(milliseconds(0)));
+  std::map<std::uint64_t, std::string> before;
+  for (std::uint64_t object = 0; object < 200; ++object) {
+    before[object] = ChosenId(placement, object, At(milliseconds(1)));
+  }
+  std::vector<BackendServer> fewer = TenServers();
+  fewer.front().isDraining = true;
+  placement.SetServers(fewer, At(milliseconds(2)));
+  for (const auto& [object, id] : before) {
+    const std::string now = ChosenId(placement, object, At(milliseconds(3)));
+    CAPTURE(object, id, now);
+    CHECK(now != "s0");
+    CHECK((id == "s0" || id == now));
+  }
+}
+
+TEST_CASE("Room is counted from own sends and from load reports")
+{
+  Placement placement("vm-1", "north");
+  placement.SetServers({ MakeServer("only") }, At(milliseconds(0)));
+  const BootTime now = At(milliseconds(1));
+
+  SECTION("own sends fill the slots")
+  {
+    for (int i = 0; i < 3; ++i) {
+      placement.OnSent("only", now);
+    }
+    CHECK(placement.Choose(MakeRequest(1), now).state == PlacingState::kBusy);
+    placement.OnEnded("only", SendOutcome::kServed, milliseconds(10), now);
+    CHECK(placement.Choose(MakeRequest(1), now).state == PlacingState::kSend);
+  }
+  SECTION("requests of other VMs fill the slots, and their report fades")
+  {
+    placement.OnLoad("only", { .running = 3, .waiting = 2, .slots = 3 }, now);
+    CHECK(placement.Choose(MakeRequest(1), now).state == PlacingState::kBusy);
+    CHECK(placement.Choose(MakeRequest(1), now + milliseconds(400)).state == PlacingState::kSend);
+  }
+  SECTION("a server that shed is full for a moment")
+  {
+    placement.OnSent("only", now);
+    placement.OnEnded("only", SendOutcome::kShed, milliseconds(1), now);
+    CHECK(placement.Choose(MakeRequest(1), now).state == PlacingState::kBusy);
+    CHECK(placement.Choose(MakeRequest(1), now + milliseconds(60)).state == PlacingState::kSend);
+  }
+}
+
+TEST_CASE("Servers that must not be used aren't")
+{
+  struct Case
+  {
+    std::string name;
+    void (*spoil)(Placement&, std::vector<BackendServer>&);
+  };
+  const Case cases[] = {
+    { "draining", [](Placement&, auto& aServers) { aServers[0].isDraining = true; } },
+    { "emptied failure domain",
+      [](Placement& aPlacement, auto&) {
+        aPlacement.SetAvoidedDomains({ "north-a" }, At(milliseconds(0)));
+      } },
+    { "gone", [](Placement&, auto& aServers) { aServers.clear(); } },
+  };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.name);
+    Placement placement("vm-1", "north");
+    std::vector<BackendServer> servers{ MakeServer("only") };
+    placement.SetServers(servers, At(milliseconds(0)));
+    REQUIRE(ChosenId(placement, 1, At(milliseconds(1))) == "only");
+    entry.spoil(placement, servers);
+    placement.SetServers(servers, At(milliseconds(2)));
+    CHECK(placement.Choose(MakeRequest(1), At(milliseconds(3))).state == PlacingState::kNoServer);
+  }
+}
+
+TEST_CASE("Requests stay in their allowed regions")
+{
+  Placement placement("vm-1", "north");
+  placement.SetServers({ MakeServer("n", "north"), MakeServer("s", "south", "south-a") },
+                       At(milliseconds(0)));
+  PlacingRequest request = MakeRequest(7);
+  request.allowed = IntersectRegions({ "south" }, {});
+  CHECK(placement.Choose(request, At(milliseconds(1))).server->id == "s");
+  request.allowed = IntersectRegions({ "south" }, { "north" });
+  CHECK(placement.Choose(request, At(milliseconds(1))).state == PlacingState::kNoServer);
+}
+
+TEST_CASE("A server that keeps failing is left alone for a while")
+{
+  Placement placement("vm-1", "north");
+  placement.SetServers({ MakeServer("only") }, At(milliseconds(0)));
+  const BootTime now = At(milliseconds(1));
+  for (int i = 0; i < 3; ++i) {
+    placement.OnSent("only", now);
+    placement.OnEnded("only", SendOutcome::kFailed, milliseconds(5), now);
+  }
+  CHECK(placement.Choose(MakeRequest(1), now).state == PlacingState::kNoServer);
+  CHECK(placement.Choose(MakeRequest(1), now + milliseconds(600)).state == PlacingState::kSend);
+}
+
+TEST_CASE("All VMs together stay below a cold server's rate in any second")
+{
+  constexpr double kRate = 15.0;
+  constexpr int kVms = 10;
+  std::vector<PlacingPeer> peers;
+  std::vector<std::unique_ptr<Placement>> vms;
+  for (int i = 0; i < kVms; ++i) {
+    peers.push_back({ "vm-" + std::to_string(i), i < 4 ? "north" : "south" });
+  }
+  for (const PlacingPeer& peer : peers) {
+    vms.push_back(std::make_unique<Placement>(peer.name, peer.region));
+    BackendServer cold = MakeServer("cold");
+    cold.slots = 1000;
+    cold.warmupLeft = std::chrono::seconds(10);
+    vms.back()->SetServers({ cold }, At(milliseconds(0)));
+    vms.back()->SetServices(PortalWithWarmup(kRate));
+    vms.back()->SetPeers(peers);
+  }
+  std::vector<BootTime> sent;
+  for (int tick = 0; tick < 3000; ++tick) {
+    const BootTime now = At(milliseconds(tick));
+    for (const auto& vm : vms) {
+      if (vm->Choose(MakeRequest(static_cast<std::uint64_t>(tick)), now).state ==
+          PlacingState::kSend) {
+        vm->OnSent("cold", now);
+        sent.push_back(now);
+      }
+    }
+  }
+  CHECK(sent.size() > 20);
+  for (std::size_t i = 0; i + 16 <= sent.size(); ++i) {
+    CAPTURE(i);
+    CHECK(sent[i + 15] - sent[i] > std::chrono::seconds(1));
+  }
+}
+
+TEST_CASE("A refused connection makes a server count as cold until it reports again")
+{
+  Placement placement("vm-1", "north");
+  placement.SetServices(PortalWithWarmup(1.0));
+  placement.SetPeers({ { "vm-1", "north" } });
+  placement.SetServers({ MakeServer("only") }, At(milliseconds(0)));
+  BootTime now = At(milliseconds(1));
+  placement.OnSent("only", now);
+  placement.OnEnded("only", SendOutcome::kNoConnection, milliseconds(5), now);
+  now += milliseconds(400);
+  REQUIRE(placement.Choose(MakeRequest(1), now).state == PlacingState::kSend);
+  placement.OnSent("only", now);
+  CHECK(placement.Choose(MakeRequest(1), now).state == PlacingState::kBusy);
+  BackendServer report = MakeServer("only");
+  report.reportNumber = 9;
+  placement.SetServers({ report }, now);
+  CHECK(placement.Choose(MakeRequest(1), now).state == PlacingState::kSend);
+}
+
+} // namespace
+} // namespace plantainhaven::placing
--- /dev/null
+++ b/test/policy/placing/placing_support.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "plantainhaven/policy/placing/placement.h"
+
+#include <chrono>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace plantainhaven::placing {
+
+// A moment of the manual clock.
+inline BootTime
+At(std::chrono::milliseconds aTime)
+{
+  return BootTime{} + std::chrono::hours(1) + aTime;
+}
+
+// A warm server of service "portal" with three slots.
+inline BackendServer
+MakeServer(const std::string& aId,
+           const std::string& aRegion = "north",
+           const std::string& aDomain = "north-a")
+{
+  BackendServer server;
+  server.id = aId;
+  server.service = "portal";
+  server.address = "10.0.0.1";
+  server.port = 80;
+  server.region = aRegion;
+  server.failureDomain = aDomain;
+  server.slots = 3;
+  server.startedAtUnixMs = 1;
+  return server;
+}
+
+inline PlacingRequest
+MakeRequest(std::uint64_t aObject)
+{
+  PlacingRequest request;
+  request.service = "portal";
+  request.object = aObject;
+  return request;
+}
+
+} // namespace plantainhaven::placing
--- /dev/null
+++ b/test/policy/placing/waiting_line_test.cc
@@ -0,0 +1,73 @@
+#include "plantainhaven/policy/placing/waiting_line.h"
+#include "policy/placing/placing_support.h"
+
+#include <catch2/catch.hpp>
+
+namespace plantainhaven::placing {
+namespace {
+
+using std::chrono::milliseconds;
+
+Waiter
+MakeWaiter(std::uint64_t aId, int aPriority, milliseconds aArrival, milliseconds aObjective)
+{
+  return { .id = aId,
+           .priority = aPriority,
+           .arrivedAt = At(aArrival),
+           .objectiveAt = At(aObjective),
+           .latestStart = At(std::chrono::seconds(10)) };
+}
+
+TEST_CASE("Room goes to the urgent first, then to those that still meet their objective")
+{
+  WaitingLine line;
+  const BootTime now = At(milliseconds(100));
+  line.Join(MakeWaiter(1, 2, milliseconds(0), milliseconds(50)), now);
+  line.Join(MakeWaiter(2, 2, milliseconds(10), milliseconds(300)), now);
+  line.Join(MakeWaiter(3, 1, milliseconds(20), milliseconds(300)), now);
+  line.Join(MakeWaiter(4, 2, milliseconds(30), milliseconds(300)), now);
+  CHECK(line.Order(now) == std::vector<std::uint64_t>{ 3, 2, 4, 1 });
+}
+
+TEST_CASE("What can't start in time is refused at once, with a time to come back")
+{
+  WaitingLine line;
+  const BootTime now = At(milliseconds(0));
+  for (int i = 0; i < 100; ++i) {
+    line.OnCompletion(now);
+  }
+  Waiter waiter = MakeWaiter(0, 1, milliseconds(0), milliseconds(0));
+  waiter.latestStart = now + milliseconds(500);
+  std::size_t admitted = 0;
+  milliseconds back{ 0 };
+  for (std::uint64_t id = 1; id <= 200; ++id) {
+    waiter.id = id;
+    const Admission admission = line.Join(waiter, now);
+    admitted += admission.admitted ? 1 : 0;
+    back = admission.retryAfter;
+  }
+  CHECK(admitted == 50);
+  CHECK(back >= milliseconds(500));
+  CHECK(line.Size() == 50);
+}
+
+TEST_CASE("Urgent arrivals make the least urgent hopeless")
+{
+  WaitingLine line;
+  const BootTime now = At(milliseconds(0));
+  for (int i = 0; i < 10; ++i) {
+    line.OnCompletion(now);
+  }
+  Waiter late = MakeWaiter(1, 2, milliseconds(0), milliseconds(0));
+  late.latestStart = now + milliseconds(200);
+  REQUIRE(line.Join(late, now).admitted);
+  CHECK(line.Hopeless(now).empty());
+  for (std::uint64_t id = 2; id <= 5; ++id) {
+    Waiter urgent = MakeWaiter(id, 0, milliseconds(1), milliseconds(900));
+    line.Join(urgent, now);
+  }
+  CHECK(line.Hopeless(now) == std::vector<std::uint64_t>{ 1 });
+}
+
+} // namespace
+} // namespace plantainhaven::placing
