--- a/src/edge/edge_program.cc
+++ b/src/edge/edge_program.cc
@@ -27,6 +27,9 @@
 namespace edge {
 namespace {
 
+// Servers that are kept for a time go at most this much later.
+constexpr std::chrono::milliseconds kPublishInterval{ 100 };
+
 std::chrono::milliseconds
 Ms(const google::protobuf::Duration& aTime)
 {
@@ -58,7 +61,7 @@
   StoreListener MakeStoreListener();
   FleetListener MakeFleetListener();
   std::unique_ptr<platform::StoreClient> MakeClient();
-  void Follow();
+  Task<void> PublishServers();
   void AwaitSignal();
   void OnSignal(int aSignal);
   void RunContext(asio::io_context& aContext, const char* aThread);
@@ -92,9 +95,7 @@
   , operatorRows(this->listener)
   , serverRows(this->listener,
                aRegions,
-               [this] {
-                 return this->fleet.HasStoreContact(placing::ServerRegistry::kReturnTime);
-               })
+               [this] { return this->fleet.HasStoreContact(placing::ServerRegistry::kReturnTime); })
   , operatorFollower(this->controlContext,
                      *this->operatorClient,
                      { .table = platform::kOperatorTable,
@@ -186,6 +187,16 @@
              } };
 }
 
+Task<void>
+Edge::PublishServers()
+{
+  asio::steady_timer timer(this->controlContext);
+  while (true) {
+    co_await Sleep(timer, kPublishInterval);
+    this->serverRows.PublishChanges();
+  }
+}
+
 void
 Edge::AwaitSignal()
 {
@@ -243,6 +254,7 @@
   });
   asio::co_spawn(this->controlContext, this->operatorFollower.Run(), asio::detached);
   asio::co_spawn(this->controlContext, this->serverFollower.Run(), asio::detached);
+  asio::co_spawn(this->controlContext, this->PublishServers(), asio::detached);
   std::thread trafficThread([this] { this->RunContext(this->trafficContext, "traffic"); });
   this->RunContext(this->controlContext, "control");
   trafficThread.join();
--- a/src/edge/fleet.cc
+++ b/src/edge/fleet.cc
@@ -16,6 +16,8 @@
 constexpr int kMostMessagesPerPoll = 512;
 // Silence after which a VM is taken as gone: three reports and their way.
 constexpr std::chrono::milliseconds kSilent{ 1800 };
+// Time that a new connection to a silent VM gets before it is opened anew.
+constexpr std::chrono::milliseconds kSilentReset{ 1000 };
 // A longer pause between two polls means that this VM stood still, not the others.
 constexpr std::chrono::milliseconds kStoodStill{ 700 };
 constexpr std::chrono::milliseconds kRetryPause{ 300 };
@@ -90,6 +92,7 @@
   aReport.set_region(this->settings.vm().region());
   aReport.set_failure_domain(this->settings.vm().failure_domain());
   this->ownReport = std::move(aReport);
+  this->ResetSilent();
   for (const auto& [name, member] : this->members) {
     Envelope message;
     *message.mutable_vm_report() = this->ownReport;
@@ -100,6 +103,18 @@
   }
 }
 
+void
+Fleet::ResetSilent()
+{
+  const BootTime now = BootClock::Now();
+  for (auto& [name, member] : this->members) {
+    if (!this->IsHeard(member, now) && now - member.resetAt > kSilentReset) {
+      this->link.Reset(member.record.endpoint());
+      member.resetAt = now;
+    }
+  }
+}
+
 void
 Fleet::Introduce()
 {
--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -55,6 +55,8 @@
     VmRecord record;
     std::uint64_t rowVersion = 0;
     BootTime heardAt{};
+    // When the connection to it was last opened anew.
+    BootTime resetAt{};
     VmReport report;
   };
 
@@ -68,6 +70,9 @@
   void Introduce();
   void PublishView();
   void PublishPart();
+  // Opens the connections to silent VMs anew: one that outlived a cut may stay silent for
+  // long after the cut has ended.
+  void ResetSilent();
   bool IsHeard(const Member& aMember, BootTime aNow) const;
   VmRecord SelfRecord(std::uint32_t aPart) const;
   std::vector<QuotaPart> Parts() const;
--- a/src/edge/store_follower.cc
+++ b/src/edge/store_follower.cc
@@ -210,7 +210,7 @@
 {
   return { .onReset = [this] { this->registry.BeginRead(); },
            .onRow = [this](const platform::StoreRow& aRow) { this->OnRow(aRow); },
-           .onRound = [this] { this->OnRound(); },
+           .onRound = [this] { this->PublishChanges(); },
            .onRegained = [this] { this->registry.OnStoreRegained(BootClock::Now()); } };
 }
 
@@ -218,14 +218,11 @@
 ServerRows::OnRow(const platform::StoreRow& aRow)
 {
   if (aRow.isRemoved) {
-    Log(LogLevel::kInfo,
-        "server_row_removed",
-        { { "server", aRow.key }, { "row", aRow.version } });
+    Log(LogLevel::kInfo, "server_row_removed", { { "server", aRow.key }, { "row", aRow.version } });
     this->registry.OnRemoved(aRow.key);
     return;
   }
-  const Result<BackendServer> decoded =
-    platform::DecodeServer(aRow.key, aRow.value, this->regions);
+  const Result<BackendServer> decoded = platform::DecodeServer(aRow.key, aRow.value, this->regions);
   if (!IsOk(decoded)) {
     if (this->unreadable.insert(aRow.key).second) {
       Log(LogLevel::kWarning,
@@ -254,7 +251,7 @@
 }
 
 void
-ServerRows::OnRound()
+ServerRows::PublishChanges()
 {
   const BootTime now = BootClock::Now();
   if (auto servers = this->registry.TakeChanges(this->storeStayedUp(), now)) {
--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -99,10 +99,12 @@
              const platform::RegionByDomain& aRegions,
              std::function<bool()> aStoreStayedUp);
   TableFollower::Reader MakeReader();
+  // Publishes the servers if they have changed. Call it often: what is kept for a time ends
+  // without an answer of the store.
+  void PublishChanges();
 
 private:
   void OnRow(const platform::StoreRow& aRow);
-  void OnRound();
 
   const StoreListener& listener;
   const platform::RegionByDomain& regions;
