Keep objects with a third of the servers under overload, and serve what can meet its objective

Ruled out: quotas (429 were beyond the limits), retries (budget kept). Tests: both patterns replayed in placement_test and waiting_line_test.

--- a/include/plantainhaven/policy/placing/placement.h
+++ b/include/plantainhaven/policy/placing/placement.h
@@ -43,8 +43,6 @@
   AllowedRegions allowed;
   // Ids of backend servers that were tried already.
   const std::vector<std::string>* excluded = nullptr;
-  // How long the request has waited for room.
-  std::chrono::milliseconds waited{ 0 };
 };
 
 enum class PlacingState
--- a/include/plantainhaven/policy/placing/waiting_line.h
+++ b/include/plantainhaven/policy/placing/waiting_line.h
@@ -16,7 +16,7 @@
   // 0 is the most urgent.
   int priority = 0;
   BootTime arrivedAt{};
-  // Started by then, the response still meets the latency objective.
+  // Started by then, the response is likely to meet the latency objective.
   BootTime objectiveAt{};
   // Started later, the response comes too late to be of use.
   BootTime latestStart{};
@@ -32,10 +32,15 @@
 
 // Orders the requests that wait at this VM for one service: urgent ones first, among equals
 // those that can still meet their latency objective, in the order of arrival. Refuses at
-// once what, at the present rate of completions, wouldn't start in time. Not thread-safe.
+// once what, at the present rate of completions, wouldn't start in time. A line that stands
+// for longer than kStanding shows overload rather than a burst: then only requests that can
+// meet their objective wait, since slots spent on late ones would make those late too. Not
+// thread-safe.
 class WaitingLine
 {
 public:
+  static constexpr std::chrono::milliseconds kStanding{ 400 };
+
   WaitingLine();
   ~WaitingLine();
   WaitingLine(WaitingLine&&) noexcept;
@@ -49,7 +54,7 @@
 
   // The waiters' ids in the order in which room is to be offered.
   std::vector<std::uint64_t> Order(BootTime aNow) const;
-  // Waiters that can no longer start in time, the least urgent first; each is to be refused.
+  // Waiters that can no longer start in time; each is to be refused.
   std::vector<std::uint64_t> Hopeless(BootTime aNow) const;
   std::size_t Size() const;
   // Completions a second, as a moving average.
--- a/src/edge/dispatcher.cc
+++ b/src/edge/dispatcher.cc
@@ -108,14 +108,13 @@
 }
 
 Placing
-Dispatcher::Choose(const SendWish& aWish, std::chrono::milliseconds aWaited, BootTime aNow)
+Dispatcher::Choose(const SendWish& aWish, BootTime aNow)
 {
   PlacingRequest request;
   request.service = aWish.service;
   request.object = aWish.object;
   request.allowed = aWish.allowed;
   request.excluded = &aWish.excluded;
-  request.waited = aWaited;
   return this->placement.Choose(request, aNow);
 }
 
@@ -131,7 +130,7 @@
 {
   const BootTime now = BootClock::Now();
   ServiceState& state = this->StateOf(aWish.service);
-  const Placing placing = this->Choose(aWish, std::chrono::milliseconds(0), now);
+  const Placing placing = this->Choose(aWish, now);
   if (placing.state == PlacingState::kNoServer) {
     co_return NoSend{ NoSendReason::kNoServer, kRetryWithoutServer };
   }
@@ -143,7 +142,7 @@
   const Waiter waiter{ .id = id,
                        .priority = aWish.priority,
                        .arrivedAt = now,
-                       .objectiveAt = aWish.objectiveAt,
+                       .objectiveAt = aWish.objectiveAt - this->UsualTime(aWish.service),
                        .latestStart = LatestStart(aWish, this->UsualTime(aWish.service)) };
   const Admission admission = state.line.Join(waiter, now);
   if (!admission.admitted) {
@@ -151,7 +150,6 @@
   }
   const auto entry = std::make_shared<Waiting>(this->context);
   entry->wish = std::move(aWish);
-  entry->since = now;
   entry->timer.expires_at(asio::steady_timer::time_point::max());
   this->waiting.emplace(id, entry);
   aWaiter = id;
@@ -227,7 +225,7 @@
       break;
     }
     const SendWish& wish = found->second->wish;
-    const Placing placing = this->Choose(wish, ToMilliseconds(now - found->second->since), now);
+    const Placing placing = this->Choose(wish, now);
     if (placing.state == PlacingState::kSend) {
       const BackendServer server = *placing.server;
       this->Grant(server, now);
--- a/src/edge/dispatcher.h
+++ b/src/edge/dispatcher.h
@@ -112,7 +112,6 @@
     {
     }
     SendWish wish;
-    BootTime since{};
     asio::steady_timer timer;
     Granted result = NoSend{};
   };
@@ -131,7 +130,7 @@
   };
 
   ServiceState& StateOf(const std::string& aService);
-  Placing Choose(const SendWish& aWish, std::chrono::milliseconds aWaited, BootTime aNow);
+  Placing Choose(const SendWish& aWish, BootTime aNow);
   void Grant(const BackendServer& aServer, BootTime aNow);
   void OfferRoom(const std::string& aService, ServiceState& aState);
   void Wake(std::uint64_t aWaiter, Granted aResult);
--- a/src/policy/placing/placement.cc
+++ b/src/policy/placing/placement.cc
@@ -18,8 +18,6 @@
 // knows it.
 constexpr double kSpreadShare = 0.34;
 constexpr std::size_t kLeastSpread = 2;
-// A request that waits this long may try one more server in the object's order.
-constexpr std::chrono::milliseconds kWaitPerServer{ 25 };
 // VMs that share a cold server's rate, and the part of the rate that they use. Two views
 // of who they are may overlap for a while without going over the rate.
 constexpr std::size_t kColdSenders = 4;
@@ -202,8 +200,7 @@
            RendezvousRank(aRequest.object, aRight->Hash());
   });
   const auto base = static_cast<std::size_t>(static_cast<double>(aRecords.size()) * kSpreadShare);
-  const auto extra = static_cast<std::size_t>(aRequest.waited / kWaitPerServer);
-  const std::size_t spread = std::max(kLeastSpread, base) + extra;
+  const std::size_t spread = std::max(kLeastSpread, base);
   const double usual = this->UsualTime(aRequest.service);
   for (std::size_t i = 0; i < std::min(spread, aRecords.size()); ++i) {
     if (this->HasRoom(*aRecords[i], usual, aNow)) {
--- a/src/policy/placing/waiting_line.cc
+++ b/src/policy/placing/waiting_line.cc
@@ -15,8 +15,16 @@
 // Rate taken as the least, so that the first requests of a service may wait.
 constexpr double kLeastRate = 10.0;
 constexpr std::chrono::milliseconds kShortestRetryAfter{ 100 };
+// Overload lasts at least this much longer once a line stands.
+constexpr std::chrono::milliseconds kOverloadRetryAfter{ 500 };
 constexpr std::chrono::milliseconds kLongestRetryAfter{ 2000 };
 
+BootClock::duration
+TimeFor(double aRequests, double aRate)
+{
+  return std::chrono::duration_cast<BootClock::duration>(Seconds(aRequests / aRate));
+}
+
 // True when `aLeft` is offered room before `aRight`.
 bool
 GoesFirst(const Waiter& aLeft, const Waiter& aRight, BootTime aNow)
@@ -37,8 +45,12 @@
 struct WaitingLine::Impl
 {
   std::size_t Ahead(const Waiter& aWaiter, BootTime aNow) const;
+  std::vector<Waiter> Sorted(BootTime aNow) const;
+  bool IsStanding(BootTime aNow) const;
 
   std::vector<Waiter> waiters;
+  // Since when somebody has waited without a break.
+  BootTime standingSince{};
   double rate = 0;
   BootTime rateAt{};
 };
@@ -52,6 +64,22 @@
     }));
 }
 
+std::vector<Waiter>
+WaitingLine::Impl::Sorted(BootTime aNow) const
+{
+  std::vector<Waiter> sorted = this->waiters;
+  std::sort(sorted.begin(), sorted.end(), [aNow](const Waiter& aLeft, const Waiter& aRight) {
+    return GoesFirst(aLeft, aRight, aNow);
+  });
+  return sorted;
+}
+
+bool
+WaitingLine::Impl::IsStanding(BootTime aNow) const
+{
+  return !this->waiters.empty() && aNow - this->standingSince > kStanding;
+}
+
 WaitingLine::WaitingLine()
   : impl(std::make_unique<Impl>())
 {
@@ -72,15 +100,23 @@
 Admission
 WaitingLine::Join(const Waiter& aWaiter, BootTime aNow)
 {
-  const double ahead = static_cast<double>(this->impl->Ahead(aWaiter, aNow));
-  const Seconds wait((ahead + 1) / this->Rate(aNow));
-  if (aNow + std::chrono::duration_cast<BootClock::duration>(wait) <= aWaiter.latestStart) {
+  const double rate = this->Rate(aNow);
+  const auto ahead = static_cast<double>(this->impl->Ahead(aWaiter, aNow));
+  const auto size = static_cast<double>(this->impl->waiters.size());
+  const auto wait = TimeFor(ahead + 1, rate);
+  const bool isStanding = this->impl->IsStanding(aNow);
+  const bool meetsObjective = aNow + wait <= aWaiter.objectiveAt;
+  const bool isInTime = aNow + TimeFor(size + 1, rate) <= aWaiter.latestStart;
+  if (meetsObjective || (isInTime && !isStanding)) {
+    if (this->impl->waiters.empty()) {
+      this->impl->standingSince = aNow;
+    }
     this->impl->waiters.push_back(aWaiter);
     return { .admitted = true };
   }
+  const auto shortest = isStanding ? kOverloadRetryAfter : kShortestRetryAfter;
   const auto back = std::chrono::ceil<std::chrono::milliseconds>(wait);
-  return { .admitted = false,
-           .retryAfter = std::clamp(back, kShortestRetryAfter, kLongestRetryAfter) };
+  return { .admitted = false, .retryAfter = std::clamp(back, shortest, kLongestRetryAfter) };
 }
 
 void
@@ -100,13 +136,8 @@
 std::vector<std::uint64_t>
 WaitingLine::Order(BootTime aNow) const
 {
-  std::vector<Waiter> sorted = this->impl->waiters;
-  std::sort(sorted.begin(), sorted.end(), [aNow](const Waiter& aLeft, const Waiter& aRight) {
-    return GoesFirst(aLeft, aRight, aNow);
-  });
   std::vector<std::uint64_t> ids;
-  ids.reserve(sorted.size());
-  for (const Waiter& waiter : sorted) {
+  for (const Waiter& waiter : this->impl->Sorted(aNow)) {
     ids.push_back(waiter.id);
   }
   return ids;
@@ -115,16 +146,13 @@
 std::vector<std::uint64_t>
 WaitingLine::Hopeless(BootTime aNow) const
 {
-  std::vector<Waiter> sorted = this->impl->waiters;
-  std::sort(sorted.begin(), sorted.end(), [aNow](const Waiter& aLeft, const Waiter& aRight) {
-    return GoesFirst(aLeft, aRight, aNow);
-  });
   std::vector<std::uint64_t> ids;
   const double rate = this->Rate(aNow);
+  const bool isStanding = this->impl->IsStanding(aNow);
   double ahead = 0;
-  for (const Waiter& waiter : sorted) {
-    const Seconds wait(ahead / rate);
-    if (aNow + std::chrono::duration_cast<BootClock::duration>(wait) > waiter.latestStart) {
+  for (const Waiter& waiter : this->impl->Sorted(aNow)) {
+    const bool isLate = isStanding && aNow > waiter.objectiveAt;
+    if (isLate || aNow + TimeFor(ahead, rate) > waiter.latestStart) {
       ids.push_back(waiter.id);
     } else {
       ahead += 1;
--- a/test/policy/placing/placement_test.cc
+++ b/test/policy/placing/placement_test.cc
@@ -99,6 +99,33 @@
   }
 }
 
+// Two seconds of twice the capacity once made every server forget its objects, because
+// requests that waited were offered ever more servers; all work was then three times as
+// long, and the overload went on for as long as the load did.
+TEST_CASE("However full the servers are, an object stays with a third of them")
+{
+  Placement placement("vm-1", "north");
+  placement.SetServers(TenServers(), At(milliseconds(0)));
+  std::map<std::uint64_t, std::set<std::string>> used;
+  for (int i = 0; i < 20000; ++i) {
+    const BootTime now = At(milliseconds(i));
+    PlacingRequest request = MakeRequest(static_cast<std::uint64_t>(i % 50));
+    const Placing placing = placement.Choose(request, now);
+    if (placing.state == PlacingState::kSend) {
+      used[request.object].insert(placing.server->id);
+      placement.OnSent(placing.server->id, now);
+    }
+    if (i >= 30 && i % 3 == 0) {
+      placement.OnEnded(
+        "s" + std::to_string(i / 3 % 10), SendOutcome::kServed, milliseconds(90), now);
+    }
+  }
+  for (const auto& [object, servers] : used) {
+    CAPTURE(object);
+    CHECK(servers.size() <= 3);
+  }
+}
+
 TEST_CASE("Servers that must not be used aren't")
 {
   struct Case
--- a/test/policy/placing/waiting_line_test.cc
+++ b/test/policy/placing/waiting_line_test.cc
@@ -51,6 +51,27 @@
   CHECK(line.Size() == 50);
 }
 
+TEST_CASE("While the line stands, only what can meet its objective waits")
+{
+  WaitingLine line;
+  const BootTime start = At(milliseconds(0));
+  const BootTime overloaded = start + WaitingLine::kStanding + milliseconds(1);
+  REQUIRE(line.Join(MakeWaiter(1, 2, milliseconds(0), milliseconds(200)), start).admitted);
+  // Late in a burst: there may still be room before its deadline.
+  REQUIRE(line.Join(MakeWaiter(2, 2, milliseconds(0), milliseconds(0)), start).admitted);
+  CHECK(line.Hopeless(start).empty());
+
+  CHECK(line.Hopeless(overloaded) == std::vector<std::uint64_t>{ 1, 2 });
+  CHECK_FALSE(
+    line.Join(MakeWaiter(3, 2, milliseconds(401), milliseconds(410)), overloaded).admitted);
+  CHECK(line.Join(MakeWaiter(4, 2, milliseconds(401), milliseconds(900)), overloaded).admitted);
+
+  for (const std::uint64_t id : { 1, 2, 4 }) {
+    line.Leave(id);
+  }
+  CHECK(line.Join(MakeWaiter(5, 2, milliseconds(401), milliseconds(410)), overloaded).admitted);
+}
+
 TEST_CASE("Urgent arrivals make the least urgent hopeless")
 {
   WaitingLine line;
