--- a/include/plantainhaven/policy/placing/region_plan.h
+++ b/include/plantainhaven/policy/placing/region_plan.h
@@ -37,6 +37,10 @@
 std::vector<RegionState>
 WithAssumedDemand(std::vector<RegionState> aRegions);
 
+// The part of all requests whose region differs between two splits.
+double
+MovedPart(const std::vector<RegionShare>& aBefore, const std::vector<RegionShare>& aAfter);
+
 // Moves `aCurrent` toward `aTarget`; at most `aStep` of all requests change their region.
 // An empty `aCurrent` takes the target as it is.
 std::vector<RegionShare>
--- a/src/edge/dispatcher.cc
+++ b/src/edge/dispatcher.cc
@@ -1,6 +1,9 @@
 #include "edge/dispatcher.h"
 
+#include "plantainhaven/common/log.h"
+
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace plantainhaven::edge {
@@ -15,6 +18,8 @@
 // A wish is refused unless this part of the usual time is left when it starts.
 constexpr double kNeededTime = 0.3;
 constexpr std::chrono::milliseconds kRetryWithoutServer{ 500 };
+// A split is logged again when this part of the requests has moved.
+constexpr double kLoggedShift = 0.05;
 
 BootTime
 LatestStart(const SendWish& aWish, std::chrono::milliseconds aUsual)
@@ -277,7 +282,32 @@
     const auto target = PlanRegions(regions, this->options.region);
     state.plan = StepTowards(state.plan, target, this->options.planStep);
     this->placement.SetPlan(name, state.plan);
+    LogPlan(name, state, regions);
+  }
+}
+
+void
+Dispatcher::LogPlan(const std::string& aService,
+                    ServiceState& aState,
+                    const std::vector<RegionState>& aRegions)
+{
+  if (placing::MovedPart(aState.loggedPlan, aState.plan) < kLoggedShift) {
+    return;
+  }
+  aState.loggedPlan = aState.plan;
+  std::string parts;
+  for (const RegionShare& share : aState.plan) {
+    parts += (parts.empty() ? "" : ",") + share.region + ":" + std::to_string(share.part);
+  }
+  std::string inputs;
+  for (const RegionState& region : aRegions) {
+    inputs += (inputs.empty() ? "" : ",") + region.name + ":" +
+              std::to_string(std::lround(region.demand)) + "/" +
+              std::to_string(std::lround(region.slots));
   }
+  Log(LogLevel::kInfo,
+      "split",
+      { { "service", aService }, { "parts", parts }, { "demand_and_slots", inputs } });
 }
 
 void
--- a/src/edge/dispatcher.h
+++ b/src/edge/dispatcher.h
@@ -127,6 +127,8 @@
     // Moving average of the requests that run or wait here.
     double demand = 0;
     std::vector<RegionShare> plan;
+    // The plan as last written to the log.
+    std::vector<RegionShare> loggedPlan;
   };
 
   ServiceState& StateOf(const std::string& aService);
@@ -134,6 +136,9 @@
   void Grant(const BackendServer& aServer, BootTime aNow);
   void OfferRoom(const std::string& aService, ServiceState& aState);
   void Wake(std::uint64_t aWaiter, Granted aResult);
+  static void LogPlan(const std::string& aService,
+                      ServiceState& aState,
+                      const std::vector<RegionState>& aRegions);
   bool HasDemand(const std::vector<RegionState>& aRegions) const;
 
   asio::io_context& context;
--- a/src/policy/placing/region_plan.cc
+++ b/src/policy/placing/region_plan.cc
@@ -90,6 +90,20 @@
   return aRegions;
 }
 
+double
+MovedPart(const std::vector<RegionShare>& aBefore, const std::vector<RegionShare>& aAfter)
+{
+  double gained = 0;
+  double lost = 0;
+  for (const RegionShare& share : aAfter) {
+    gained += std::max(0.0, share.part - PartOf(aBefore, share.region));
+  }
+  for (const RegionShare& share : aBefore) {
+    lost += std::max(0.0, share.part - PartOf(aAfter, share.region));
+  }
+  return std::max(gained, lost);
+}
+
 std::vector<RegionShare>
 StepTowards(const std::vector<RegionShare>& aCurrent,
             const std::vector<RegionShare>& aTarget,
@@ -107,10 +121,7 @@
       next.push_back({ share.region, 0 });
     }
   }
-  double moved = 0;
-  for (const RegionShare& share : next) {
-    moved += std::abs(share.part - PartOf(aCurrent, share.region)) / 2;
-  }
+  const double moved = MovedPart(aCurrent, next);
   const double scale = moved > aStep ? aStep / moved : 1.0;
   for (RegionShare& share : next) {
     const double before = PartOf(aCurrent, share.region);
