--- a/src/edge/edge_program.cc
+++ b/src/edge/edge_program.cc
@@ -1,5 +1,6 @@
 #include "plantainhaven/edge/edge_program.h"
 
+#include "edge/context.h"
 #include "edge/fleet.h"
 #include "edge/net.h"
 #include "edge/simple_server.h"
@@ -68,8 +69,8 @@
 
   const EdgedSettings& settings;
   Metrics metrics;
-  asio::io_context controlContext{ 1 };
-  asio::io_context trafficContext{ 1 };
+  Context controlContext;
+  Context trafficContext;
   asio::signal_set signals;
   std::unique_ptr<platform::StoreClient> operatorClient;
   std::unique_ptr<platform::StoreClient> serverClient;
@@ -258,6 +259,8 @@
   std::thread trafficThread([this] { this->RunContext(this->trafficContext, "traffic"); });
   this->RunContext(this->controlContext, "control");
   trafficThread.join();
+  this->trafficContext.End();
+  this->controlContext.End();
 }
 
 } // namespace
--- a/src/edge/fleet.cc
+++ b/src/edge/fleet.cc
@@ -61,8 +61,8 @@
 Result<Done>
 Fleet::Start()
 {
-  const auto bound = this->link.Bind(this->settings.vm().address(),
-                                     static_cast<std::uint16_t>(this->settings.listen().peers()));
+  auto bound = this->link.Bind(this->settings.vm().address(),
+                               static_cast<std::uint16_t>(this->settings.listen().peers()));
   if (!IsOk(bound)) {
     return bound;
   }
--- a/src/edge/request_run.cc
+++ b/src/edge/request_run.cc
@@ -199,6 +199,7 @@
 {
   const std::vector<RouteTarget>& targets = this->route->targets;
   std::vector<double> weights;
+  weights.reserve(targets.size());
   for (const RouteTarget& target : targets) {
     weights.push_back(target.weight);
   }
--- a/src/policy/placing/placement.cc
+++ b/src/policy/placing/placement.cc
@@ -347,6 +347,7 @@
 Placement::ServiceNames() const
 {
   std::vector<std::string> names;
+  names.reserve(this->impl->services.size());
   for (const auto& [name, record] : this->impl->services) {
     names.push_back(name);
   }
