--- a/src/policy/placing/placement.cc
+++ b/src/policy/placing/placement.cc
@@ -22,8 +22,7 @@
 // of who they are may overlap for a while without going over the rate.
 constexpr std::size_t kColdSenders = 4;
 constexpr double kColdUse = 0.8;
-// A server whose failure domain was emptied may be cold; a report within two heartbeats
-// tells.
+// Weight of the newest response in a service's usual time; about twenty responses count.
 constexpr double kUsualTimeWeight = 0.05;
 constexpr std::uint64_t kPositionSalt = 0x5bd1e9955bd1e995ULL;
 
