--- a/src/policy/placing/placement.cc
+++ b/src/policy/placing/placement.cc
@@ -336,6 +336,7 @@
     slots[entry.region] += counts ? entry.slots : 0;
   }
   std::vector<RegionState> states;
+  states.reserve(slots.size());
   for (const auto& [name, count] : slots) {
     states.push_back({ name, count, 0 });
   }
