--- a/include/plantainhaven/policy/placing/placement.h
+++ b/include/plantainhaven/policy/placing/placement.h
@@ -97,6 +97,8 @@
                std::chrono::milliseconds aTook,
                BootTime aNow);
   void OnLoad(const std::string& aServer, const ServerLoad& aLoad, BootTime aNow);
+  // Another VM has seen so many requests at the server whose id has this hash.
+  void OnPeerLoad(std::uint64_t aServerHash, int aRequests, BootTime aNow);
 
   // Slots of usable servers by region.
   std::vector<RegionState> Regions(const std::string& aService, BootTime aNow) const;
--- a/include/plantainhaven/policy/placing/quota_parts.h
+++ b/include/plantainhaven/policy/placing/quota_parts.h
@@ -1,26 +1,54 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace plantainhaven::placing {
 
-// All parts of the fleet's limits together.
+// Length of the quota ring. The ring belongs to the VMs in disjoint ranges, and the limit of
+// every client account is cut into units that lie on it.
 constexpr std::uint32_t kWholeQuota = 1'000'000;
 
-// The part of all limits that a VM may give out, as the store keeps it.
+// A range of the quota ring, without its end.
+struct QuotaRange
+{
+  std::uint32_t begin = 0;
+  std::uint32_t end = 0;
+
+  bool operator==(const QuotaRange&) const = default;
+  bool IsEmpty() const { return this->end <= this->begin; }
+  std::uint32_t Length() const { return this->IsEmpty() ? 0 : this->end - this->begin; }
+  bool Holds(std::uint32_t aPosition) const
+  {
+    return aPosition >= this->begin && aPosition < this->end;
+  }
+};
+
+// The range of one VM, as the store keeps it.
 struct QuotaPart
 {
   std::string vm;
-  std::uint32_t millionths = 0;
+  QuotaRange range;
 };
 
-// How `aGiver` splits its part among the VMs that have none, so that all VMs end up with
-// about the same; nothing when it has too little to give. The result holds the new parts of
-// the giver, which comes first, and of those that receive. The sum of all parts stays.
+// How `aGiver` splits its range among the VMs that have none, so that all VMs end up with
+// about the same; nothing when it has too little to give. The result holds the new ranges of
+// the giver, which comes first, and of at most `aMost` that receive.
 std::optional<std::vector<QuotaPart>>
 ShareQuota(const std::vector<QuotaPart>& aParts, const std::string& aGiver, std::size_t aMost);
 
+// Positions on the ring of the equal units into which an account's limit is cut. A unit is
+// the smallest part that a VM holds: large enough to give out whole tokens however many VMs
+// there are. Evenly spaced, so that VMs with like ranges hold like parts of a large account.
+std::vector<std::uint32_t>
+UnitPositions(std::string_view aAccount, double aBurst);
+
+// The part of an account's units that lie in a range, 0 to 1.
+double
+HeldPart(const std::vector<std::uint32_t>& aPositions, const QuotaRange& aRange);
+
 } // namespace plantainhaven::placing
--- a/include/plantainhaven/policy/placing/retry_allowance.h
+++ b/include/plantainhaven/policy/placing/retry_allowance.h
@@ -1,9 +1,23 @@
 #pragma once
 
 #include <algorithm>
+#include <cstddef>
 
 namespace plantainhaven::placing {
 
+// The repeats that each of `aVms` VMs may keep, so that all of them together stay within
+// half of the fleet's slack; the other half covers VMs that don't know of each other yet. A
+// VM that may not keep a whole one never repeats, so one is the least.
+inline double
+RetryStock(double aSlack, std::size_t aVms)
+{
+  constexpr double kUsedSlack = 0.5;
+  // One VM alone keeps no more than this part: others may be about to start.
+  constexpr double kMostOfOne = 0.04;
+  const double shared = aSlack * kUsedSlack / static_cast<double>(std::max<std::size_t>(1, aVms));
+  return std::max(1.0, std::min(shared, aSlack * kMostOfOne));
+}
+
 // Bounds how many requests this VM sends a second time. Each first send earns a part of a
 // repeat, so the sum over all VMs stays within the ratio in any window without asking
 // anyone; only the stock, which is small, comes on top.
@@ -17,6 +31,12 @@
   {
   }
 
+  // Bounds what may be kept from now on.
+  void SetStock(double aStock)
+  {
+    this->stock = aStock;
+    this->level = std::min(this->level, aStock);
+  }
   void OnFirstSend() { this->level = std::min(this->stock, this->level + this->ratio); }
   // Takes one repeat, or returns false when none is left.
   bool TryRepeat()
--- a/include/plantainhaven/policy/placing/token_bank.h
+++ b/include/plantainhaven/policy/placing/token_bank.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "plantainhaven/common/time.h"
+#include "plantainhaven/policy/placing/quota_parts.h"
 
 #include <chrono>
 #include <cstddef>
@@ -36,10 +37,10 @@
   double amount = 0;
 };
 
-// The part of every account's rate and burst that this VM gives out, with lending between
-// VMs. Tokens lent leave the level and the capacity of the lender until nobody can hold
-// them any more, so over all VMs the tokens taken in any window w stay within
-// burst + rate * w while the parts sum to at most one. Not thread-safe; reads no clock.
+// The units of every account's limit that this VM gives out, with lending between VMs.
+// Tokens lent leave the level and the capacity of the lender until nobody can hold them any
+// more, so over all VMs the tokens taken in any window w stay within burst + rate * w while
+// the VMs' ranges are disjoint. Not thread-safe; reads no clock.
 class TokenBank
 {
 public:
@@ -50,16 +51,24 @@
 
   // Takes over the limits of a new configuration; levels stay, capped by the new burst.
   void SetLimits(const std::vector<TokenLimit>& aLimits, BootTime aNow);
-  // Sets the part of all limits that this VM may give out, 0 to 1.
-  void SetPart(double aPart, BootTime aNow);
-  double Part() const;
+  // Sets the range of the quota ring whose units this VM may give out.
+  void SetRange(const QuotaRange& aRange, BootTime aNow);
 
-  // Takes a token, from what was borrowed first. An unknown account has no limit.
+  // Takes a token for a request that has just come, from what was borrowed first. An
+  // unknown account has no limit.
   TokenTake TryTake(const std::string& aAccount, BootTime aNow);
+  // The same for a request that has waited since its TryTake().
+  bool TakeForWaiting(const std::string& aAccount, BootTime aNow);
+  // Requests that wait for a token of the account; they count in wishes.
+  void SetWaiting(const std::string& aAccount, std::size_t aCount);
+  // Where the units of the account lie; empty when it has no limit.
+  std::vector<std::uint32_t> Positions(const std::string& aAccount) const;
   // Accounts that are about to run short, at most once per account and ask interval.
   std::vector<TokenWish> Wishes(BootTime aNow);
   // Lends up to `aAmount`; returns what was lent, 0 when this VM needs its own.
   double Lend(const std::string& aAccount, double aAmount, BootTime aNow);
+  // The time in which this VM's own units earn one token.
+  std::chrono::milliseconds TimeToEarn(const std::string& aAccount) const;
   // Credits a grant that answers an ask sent at `aAskedAt`.
   void OnGrant(const std::string& aAccount, double aAmount, BootTime aAskedAt, BootTime aNow);
 
--- a/src/edge/dispatcher.cc
+++ b/src/edge/dispatcher.cc
@@ -49,7 +49,6 @@
   , options(std::move(aOptions))
   , metrics(aMetrics)
   , placement(this->options.vm, this->options.region)
-  , tokens(BootClock::Now())
 {
 }
 
@@ -58,11 +57,6 @@
 {
   this->routing = std::move(aRouting);
   this->placement.SetServices(this->routing->services);
-  std::vector<TokenLimit> limits;
-  for (const Account& account : this->routing->accounts) {
-    limits.push_back({ account.name, account.rate, account.burst });
-  }
-  this->tokens.SetLimits(limits, BootClock::Now());
 }
 
 void
@@ -81,6 +75,10 @@
 void
 Dispatcher::SetPeers(std::vector<PlacingPeer> aPeers)
 {
+  const double stock = placing::RetryStock(this->options.retrySlack, aPeers.size());
+  for (auto& [name, state] : this->services) {
+    state.retries.SetStock(stock);
+  }
   this->placement.SetPeers(std::move(aPeers));
 }
 
@@ -202,6 +200,16 @@
 Dispatcher::OnLoad(const std::string& aServer, const ServerLoad& aLoad)
 {
   this->placement.OnLoad(aServer, aLoad, BootClock::Now());
+  this->seenLoads[StableHash(aServer)] = aLoad.running + aLoad.waiting;
+}
+
+void
+Dispatcher::OnPeerLoads(const VmReport& aReport)
+{
+  const BootTime now = BootClock::Now();
+  for (const SeenLoad& load : aReport.loads()) {
+    this->placement.OnPeerLoad(load.server(), static_cast<int>(load.requests()), now);
+  }
 }
 
 void
@@ -323,6 +331,12 @@
       part->set_part(share.part);
     }
   }
+  for (const auto& [server, requests] : this->seenLoads) {
+    SeenLoad* const load = aReport.add_loads();
+    load->set_server(server);
+    load->set_requests(static_cast<std::uint32_t>(requests));
+  }
+  this->seenLoads.clear();
   aReport.set_configuration_version(this->routing == nullptr ? 0 : this->routing->version);
 }
 
--- a/src/edge/dispatcher.h
+++ b/src/edge/dispatcher.h
@@ -6,13 +6,13 @@
 #include "plantainhaven/policy/placing/placement.h"
 #include "plantainhaven/policy/placing/retry_allowance.h"
 #include "plantainhaven/policy/placing/routing.h"
-#include "plantainhaven/policy/placing/token_bank.h"
 #include "plantainhaven/policy/placing/waiting_line.h"
 
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -24,9 +24,9 @@
 {
   std::string vm;
   std::string region;
-  // Repeats that each first send to a service earns, and how many may be kept here.
+  // Repeats that each first send to a service earns, and how many all VMs may keep.
   double retryRatio = 0.2;
-  double retryStock = 3;
+  double retrySlack = 60;
   // Part of the requests that may change their region in one step of the plan.
   double planStep = 0.02;
 };
@@ -81,7 +81,6 @@
 
   const RoutingPtr& CurrentRouting() const { return this->routing; }
   bool IsReady() const;
-  TokenBank& Tokens() { return this->tokens; }
 
   // Waits for room at a backend server. `aWaiter` receives the id for Abandon() while it
   // waits, and 0 afterwards.
@@ -90,6 +89,8 @@
   void Abandon(std::uint64_t aWaiter);
   void End(const BackendServer& aServer, SendOutcome aOutcome, std::chrono::milliseconds aTook);
   void OnLoad(const std::string& aServer, const ServerLoad& aLoad);
+  // What another VM has seen of servers.
+  void OnPeerLoads(const VmReport& aReport);
 
   void CountFirstSend(const std::string& aService);
   bool TryRepeat(const std::string& aService);
@@ -118,7 +119,7 @@
   struct ServiceState
   {
     explicit ServiceState(const DispatcherOptions& aOptions)
-      : retries(aOptions.retryRatio, aOptions.retryStock)
+      : retries(aOptions.retryRatio, placing::RetryStock(aOptions.retrySlack, 1))
     {
     }
     WaitingLine line;
@@ -146,11 +147,12 @@
   Metrics& metrics;
   RoutingPtr routing;
   Placement placement;
-  TokenBank tokens;
   std::map<std::string, ServiceState> services;
   std::map<std::uint64_t, std::shared_ptr<Waiting>> waiting;
   std::map<std::string, std::map<std::string, double>> peerDemand;
   std::uint64_t nextWaiter = 1;
+  // Requests seen at servers since the last report, by the hash of the server's id.
+  std::unordered_map<std::uint64_t, int> seenLoads;
 };
 
 } // namespace plantainhaven::edge
--- a/src/edge/edge_program.cc
+++ b/src/edge/edge_program.cc
@@ -62,6 +62,8 @@
   StoreListener MakeStoreListener();
   FleetListener MakeFleetListener();
   std::unique_ptr<platform::StoreClient> MakeClient();
+  NewsLink MakeNewsLink();
+  void OnNews(const std::string& aFrom, const TableNews& aNews);
   Task<void> PublishServers();
   void AwaitSignal();
   void OnSignal(int aSignal);
@@ -101,14 +103,18 @@
                      *this->operatorClient,
                      { .table = platform::kOperatorTable,
                        .wait = Ms(aSettings.store().configuration_wait()),
-                       .interval = std::chrono::milliseconds(0) },
-                     this->operatorRows.MakeReader())
+                       .interval = std::chrono::milliseconds(0),
+                       .self = aSettings.vm().name() },
+                     this->operatorRows.MakeReader(),
+                     this->MakeNewsLink())
   , serverFollower(this->controlContext,
                    *this->serverClient,
                    { .table = platform::kServerTable,
                      .wait = Ms(aSettings.store().server_wait()),
-                     .interval = Ms(aSettings.store().server_interval()) },
-                   this->serverRows.MakeReader())
+                     .interval = Ms(aSettings.store().server_interval()),
+                     .self = aSettings.vm().name() },
+                   this->serverRows.MakeReader(),
+                   this->MakeNewsLink())
   , fleet(this->controlContext,
           aSettings,
           *this->fleetClient,
@@ -125,8 +131,11 @@
         });
       },
       [this](VmReport aReport) {
-        this->OnControl(
-          [this, report = std::move(aReport)]() mutable { this->fleet.Report(std::move(report)); });
+        this->OnControl([this, report = std::move(aReport)]() mutable {
+          const auto contact = this->serverFollower.ContactTime();
+          report.set_store_contact_ms(static_cast<std::uint64_t>(contact.count()));
+          this->fleet.Report(std::move(report));
+        });
       })
 {
 }
@@ -141,6 +150,28 @@
     [this] { this->metrics.Count("plantainhaven_store_calls_total"); });
 }
 
+NewsLink
+Edge::MakeNewsLink()
+{
+  return { .send =
+             [this](const TableNews& aNews) {
+               Envelope message;
+               *message.mutable_table_news() = aNews;
+               this->fleet.SendNear(message);
+             },
+           .readers = [this] { return this->fleet.NearCount(); } };
+}
+
+void
+Edge::OnNews(const std::string& aFrom, const TableNews& aNews)
+{
+  if (aNews.table() == platform::kOperatorTable) {
+    this->operatorFollower.OnNews(aFrom, aNews);
+  } else if (aNews.table() == platform::kServerTable) {
+    this->serverFollower.OnNews(aFrom, aNews);
+  }
+}
+
 StoreListener
 Edge::MakeStoreListener()
 {
@@ -172,17 +203,24 @@
                  this->traffic.SetFleet(std::move(view));
                });
              },
-           .onQuotaPart =
-             [this](double aPart) {
-               this->OnTraffic([this, aPart] { this->traffic.SetQuotaPart(aPart); });
+           .onQuotaRange =
+             [this](QuotaRange aRange) {
+               this->OnTraffic([this, aRange] { this->traffic.SetQuotaRange(aRange); });
+             },
+           .onNearReport =
+             [this](VmReport aReport) {
+               this->OnTraffic(
+                 [this, report = std::move(aReport)] { this->traffic.OnPeerReport(report); });
              },
+           .onNews = [this](const std::string& aFrom,
+                            const TableNews& aNews) { this->OnNews(aFrom, aNews); },
            .onTokenMessage =
              [this](Envelope aMessage) {
                this->OnTraffic([this, message = std::move(aMessage)] {
                  if (message.has_token_ask()) {
-                   this->traffic.OnTokenAsk(message);
+                   this->traffic.Tokens().OnAsk(message);
                  } else {
-                   this->traffic.OnTokenGrant(message);
+                   this->traffic.Tokens().OnGrant(message);
                  }
                });
              } };
--- a/src/edge/fleet.cc
+++ b/src/edge/fleet.cc
@@ -14,8 +14,12 @@
 // Messages are looked for this often; the delay that it adds to a message.
 constexpr std::chrono::milliseconds kLinkPoll{ 15 };
 constexpr int kMostMessagesPerPoll = 512;
+// VMs of other regions get each third report: they need it for the split between regions
+// and as lenders only.
+constexpr std::uint64_t kFarReports = 3;
 // Silence after which a VM is taken as gone: three reports and their way.
 constexpr std::chrono::milliseconds kSilent{ 1800 };
+constexpr std::chrono::milliseconds kFarSilent{ 4800 };
 // Time that a new connection to a silent VM gets before it is opened anew.
 constexpr std::chrono::milliseconds kSilentReset{ 1000 };
 // A longer pause between two polls means that this VM stood still, not the others.
@@ -34,6 +38,19 @@
 // Row whose existence says that the whole of the limits was given out once.
 constexpr const char* kOriginKey = "#origin";
 
+QuotaRange
+RangeOf(const VmRecord& aRecord)
+{
+  return { aRecord.quota_begin(), aRecord.quota_end() };
+}
+
+void
+SetRange(VmRecord& aRecord, const QuotaRange& aRange)
+{
+  aRecord.set_quota_begin(aRange.begin);
+  aRecord.set_quota_end(aRange.end);
+}
+
 std::uint64_t
 NewIncarnation()
 {
@@ -95,10 +112,11 @@
   aReport.set_failure_domain(this->settings.vm().failure_domain());
   this->ownReport = std::move(aReport);
   this->ResetSilent();
+  const bool isFarTurn = isNews || this->reports++ % kFarReports == 0;
   for (const auto& [name, member] : this->members) {
-    Envelope message;
-    *message.mutable_vm_report() = this->ownReport;
-    this->Send(member.record.endpoint(), std::move(message));
+    if (isFarTurn || this->IsNear(member)) {
+      this->SendReport(member, false);
+    }
   }
   if (isNews) {
     this->PublishView();
@@ -120,15 +138,52 @@
 void
 Fleet::Introduce()
 {
-  VmReport report = this->ownReport;
-  report.set_introduction(true);
   for (const auto& [name, member] : this->members) {
-    Envelope message;
-    *message.mutable_vm_report() = report;
-    this->Send(member.record.endpoint(), std::move(message));
+    this->SendReport(member, true);
+  }
+}
+
+void
+Fleet::SendReport(const Member& aMember, bool aIsIntroduction)
+{
+  Envelope message;
+  VmReport& report = *message.mutable_vm_report();
+  report = this->ownReport;
+  report.set_introduction(aIsIntroduction);
+  if (!this->IsNear(aMember)) {
+    report.clear_loads();
+  }
+  this->Send(aMember.record.endpoint(), std::move(message));
+}
+
+void
+Fleet::SendNear(const Envelope& aMessage)
+{
+  const BootTime now = BootClock::Now();
+  for (const auto& [name, member] : this->members) {
+    if (this->IsNear(member) && this->IsHeard(member, now)) {
+      this->Send(member.record.endpoint(), aMessage);
+    }
   }
 }
 
+std::size_t
+Fleet::NearCount() const
+{
+  const BootTime now = BootClock::Now();
+  const auto others =
+    std::count_if(this->members.begin(), this->members.end(), [&](const auto& aEntry) {
+      return this->IsNear(aEntry.second) && this->IsHeard(aEntry.second, now);
+    });
+  return static_cast<std::size_t>(others) + 1;
+}
+
+bool
+Fleet::IsNear(const Member& aMember) const
+{
+  return aMember.record.region() == this->settings.vm().region();
+}
+
 Task<void>
 Fleet::RunLink()
 {
@@ -165,6 +220,8 @@
     this->OnReport(aMessage);
   } else if (aMessage.has_token_ask() || aMessage.has_token_grant()) {
     this->listener.onTokenMessage(aMessage);
+  } else if (aMessage.has_table_news()) {
+    this->listener.onNews(aMessage.from(), aMessage.table_news());
   }
 }
 
@@ -195,9 +252,10 @@
   member.report = report;
   member.heardAt = now;
   if (report.introduction()) {
-    Envelope answer;
-    *answer.mutable_vm_report() = this->ownReport;
-    this->Send(aMessage.reply_to(), std::move(answer));
+    this->SendReport(member, false);
+  }
+  if (report.loads_size() > 0) {
+    this->listener.onNearReport(report);
   }
   if (isNews) {
     this->PublishView();
@@ -207,7 +265,8 @@
 bool
 Fleet::IsHeard(const Member& aMember, BootTime aNow) const
 {
-  return aMember.heardAt != BootTime{} && aNow - aMember.heardAt < kSilent;
+  const auto silent = this->IsNear(aMember) ? kSilent : kFarSilent;
+  return aMember.heardAt != BootTime{} && aNow - aMember.heardAt < silent;
 }
 
 bool
@@ -237,7 +296,8 @@
     }
     const VmReport& report = member.report;
     view.senders.push_back({ name, report.region() });
-    view.peers.push_back(member.record.endpoint());
+    view.holders.push_back(
+      { RangeOf(member.record), member.record.endpoint(), report.region() == vm.region() });
     if (report.ready() && !report.leaving()) {
       view.entries.push_back({ name, report.callers(), report.region(), report.failure_domain() });
     }
@@ -251,12 +311,12 @@
       }
     }
   }
-  this->metrics.Set("plantainhaven_peers_heard", static_cast<double>(view.peers.size()));
+  this->metrics.Set("plantainhaven_peers_heard", static_cast<double>(view.holders.size()));
   this->listener.onView(std::move(view));
 }
 
 VmRecord
-Fleet::SelfRecord(std::uint32_t aPart) const
+Fleet::SelfRecord(const QuotaRange& aRange) const
 {
   VmRecord record;
   record.set_endpoint(this->endpoint);
@@ -264,7 +324,7 @@
   record.set_region(this->settings.vm().region());
   record.set_failure_domain(this->settings.vm().failure_domain());
   record.set_incarnation(this->incarnation);
-  record.set_quota_millionths(aPart);
+  SetRange(record, aRange);
   return record;
 }
 
@@ -276,7 +336,7 @@
     co_return false;
   }
   this->ownVersion = 0;
-  std::uint32_t part = 0;
+  QuotaRange range;
   for (const platform::StoreRow& row : ValueOf(result).rows) {
     VmRecord record;
     if (row.key == kOriginKey) {
@@ -290,14 +350,14 @@
     }
     if (row.key == this->self) {
       this->ownVersion = row.version;
-      part = record.quota_millionths();
+      range = RangeOf(record);
       continue;
     }
     Member& member = this->members[row.key];
     member.rowVersion = row.version;
     member.record = record;
   }
-  this->ownPart = part;
+  this->ownRange = range;
   co_return true;
 }
 
@@ -307,42 +367,43 @@
 Fleet::RegisterSelf()
 {
   const bool isFirst = this->ownVersion == 0 && this->members.empty();
-  std::uint32_t part = this->ownPart;
+  QuotaRange range = this->ownRange;
   std::vector<platform::ConditionalPut> puts;
   if (isFirst) {
-    part = kWholeQuota;
+    range = { 0, kWholeQuota };
     puts.push_back({ kOriginKey, this->self, 0 });
   }
-  puts.push_back({ this->self, this->SelfRecord(part).SerializeAsString(), this->ownVersion });
+  puts.push_back({ this->self, this->SelfRecord(range).SerializeAsString(), this->ownVersion });
   const Result<std::uint64_t> written = co_await this->client.Write(platform::kFleetTable, puts);
   if (!IsOk(written)) {
     Log(LogLevel::kInfo, "register_failed", { { "error", ErrorOf(written).message } });
     co_return false;
   }
   this->ownVersion = ValueOf(written);
-  this->ownPart = part;
+  this->ownRange = range;
   this->isRegistered = true;
   Log(LogLevel::kInfo,
       "registered",
-      { { "vms", this->members.size() + 1 }, { "quota_millionths", part } });
+      { { "vms", this->members.size() + 1 }, { "quota_millionths", range.Length() } });
   co_return true;
 }
 
 void
-Fleet::PublishPart()
+Fleet::PublishRange()
 {
   this->metrics.Set("plantainhaven_quota_part",
-                    static_cast<double>(this->ownPart) / static_cast<double>(kWholeQuota));
-  this->listener.onQuotaPart(static_cast<double>(this->ownPart) / kWholeQuota);
+                    static_cast<double>(this->ownRange.Length()) /
+                      static_cast<double>(kWholeQuota));
+  this->listener.onQuotaRange(this->ownRange);
 }
 
 std::vector<QuotaPart>
 Fleet::Parts() const
 {
-  std::vector<QuotaPart> parts{ { this->self, this->ownPart } };
+  std::vector<QuotaPart> parts{ { this->self, this->ownRange } };
   for (const auto& [name, member] : this->members) {
     if (member.rowVersion != 0) {
-      parts.push_back({ name, member.record.quota_millionths() });
+      parts.push_back({ name, RangeOf(member.record) });
     }
   }
   return parts;
@@ -357,14 +418,14 @@
   if (!shared) {
     co_return false;
   }
-  this->ownPart = shared->front().millionths;
-  this->PublishPart();
+  this->ownRange = shared->front().range;
+  this->PublishRange();
   std::vector<platform::ConditionalPut> puts;
   puts.push_back(
-    { this->self, this->SelfRecord(this->ownPart).SerializeAsString(), this->ownVersion });
+    { this->self, this->SelfRecord(this->ownRange).SerializeAsString(), this->ownVersion });
   for (auto part = shared->begin() + 1; part != shared->end(); ++part) {
     Member& member = this->members[part->vm];
-    member.record.set_quota_millionths(part->millionths);
+    SetRange(member.record, part->range);
     puts.push_back({ part->vm, member.record.SerializeAsString(), member.rowVersion });
   }
   const Result<std::uint64_t> written = co_await this->client.Write(platform::kFleetTable, puts);
@@ -393,21 +454,21 @@
       co_await Sleep(timer, kRetryPause);
     }
   }
-  this->PublishPart();
+  this->PublishRange();
   this->Introduce();
   co_await Sleep(timer, kGather);
   for (int round = 0;; ++round) {
     const bool isRead = co_await this->ReadRows();
     bool hasGiven = false;
     if (isRead) {
-      this->PublishPart();
+      this->PublishRange();
       this->Introduce();
       hasGiven = co_await this->GiveParts();
     }
     std::chrono::milliseconds pause = kRowPoll;
     if (hasGiven) {
       pause = kNextShare;
-    } else if (round < kPartPolls && this->ownPart == 0) {
+    } else if (round < kPartPolls && this->ownRange.IsEmpty()) {
       pause = kPartPoll;
     }
     co_await Sleep(timer, pause);
--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -23,8 +23,12 @@
 struct FleetListener
 {
   std::function<void(FleetView)> onView;
-  std::function<void(double)> onQuotaPart;
-  // A message for the traffic thread.
+  std::function<void(QuotaRange)> onQuotaRange;
+  // A report of a VM of this region, for the traffic thread.
+  std::function<void(VmReport)> onNearReport;
+  // What a VM of this region has read of the store.
+  std::function<void(const std::string& aFrom, const TableNews&)> onNews;
+  // Messages about tokens, for the traffic thread.
   std::function<void(Envelope)> onTokenMessage;
 };
 
@@ -43,6 +47,10 @@
   Result<Done> Start();
   // Sends a message of the traffic thread.
   void Send(const std::string& aEndpoint, Envelope aMessage);
+  // Sends a message to the VMs of this region that were heard lately.
+  void SendNear(const Envelope& aMessage);
+  // VMs of this region that were heard lately, this one included.
+  std::size_t NearCount() const;
   // True when a VM that was heard lately has had answers from the store for at least
   // `aTime`.
   bool HasStoreContact(std::chrono::milliseconds aTime) const;
@@ -69,12 +77,14 @@
   void OnReport(const Envelope& aMessage);
   void Introduce();
   void PublishView();
-  void PublishPart();
+  void PublishRange();
+  void SendReport(const Member& aMember, bool aIsIntroduction);
+  bool IsNear(const Member& aMember) const;
   // Opens the connections to silent VMs anew: one that outlived a cut may stay silent for
   // long after the cut has ended.
   void ResetSilent();
   bool IsHeard(const Member& aMember, BootTime aNow) const;
-  VmRecord SelfRecord(std::uint32_t aPart) const;
+  VmRecord SelfRecord(const QuotaRange& aRange) const;
   std::vector<QuotaPart> Parts() const;
 
   asio::io_context& context;
@@ -90,9 +100,10 @@
   std::map<std::string, Member> members;
   // This VM's row as last read or written.
   std::uint64_t ownVersion = 0;
-  std::uint32_t ownPart = 0;
+  QuotaRange ownRange;
   bool isRegistered = false;
   VmReport ownReport;
+  std::uint64_t reports = 0;
   BootTime tickedAt{};
 };
 
--- a/src/edge/names.h
+++ b/src/edge/names.h
@@ -2,6 +2,7 @@
 
 #include "plantainhaven/policy/placing/caller_directory.h"
 #include "plantainhaven/policy/placing/placement.h"
+#include "plantainhaven/policy/placing/poll_turn.h"
 #include "plantainhaven/policy/placing/quota_parts.h"
 #include "plantainhaven/policy/placing/rendezvous.h"
 #include "plantainhaven/policy/placing/retry_allowance.h"
@@ -29,7 +30,9 @@
 using placing::PlacingRequest;
 using placing::PlacingState;
 using placing::PlanRegions;
+using placing::PollTurn;
 using placing::QuotaPart;
+using placing::QuotaRange;
 using placing::RegionShare;
 using placing::RegionState;
 using placing::RetryAllowance;
--- a/src/edge/request_run.cc
+++ b/src/edge/request_run.cc
@@ -183,17 +183,22 @@
     this->Refuse(401, "unknown_key", {});
     return false;
   }
-  if (this->account != nullptr) {
-    const TokenTake take =
-      this->state.dispatcher.Tokens().TryTake(this->account->name, BootClock::Now());
-    if (!take.taken) {
-      this->Refuse(429, "account_rate", std::max(take.retryAfter, kRetryNotRun));
-      return false;
-    }
-  }
   return true;
 }
 
+Task<bool>
+RequestRun::TakeToken()
+{
+  if (this->account == nullptr) {
+    co_return true;
+  }
+  const TokenTake take = co_await this->state.tokens.Take(this->account->name);
+  if (!take.taken) {
+    this->Refuse(429, "account_rate", std::max(take.retryAfter, kRetryNotRun));
+  }
+  co_return take.taken;
+}
+
 std::string
 RequestRun::PickService()
 {
@@ -248,6 +253,10 @@
   if (!this->Admit()) {
     co_return co_await this->WriteRefusal();
   }
+  const bool hasToken = co_await this->TakeToken();
+  if (!hasToken) {
+    co_return co_await this->WriteRefusal();
+  }
   this->PrepareWish();
   this->watch.Start();
   while (true) {
--- a/src/edge/request_run.h
+++ b/src/edge/request_run.h
@@ -5,6 +5,7 @@
 #include "edge/exchange.h"
 #include "edge/names.h"
 #include "edge/net.h"
+#include "edge/token_desk.h"
 #include "plantainhaven/common/metrics.h"
 
 #include <memory>
@@ -19,9 +20,10 @@
 {
   asio::io_context& context;
   Dispatcher& dispatcher;
+  TokenDesk& tokens;
   UpstreamPool& pool;
   Metrics& metrics;
-  std::mt19937_64 random;
+  std::mt19937_64& random;
   // SIGTERM came: answers ask callers to close their connections.
   bool isStopping = false;
   // The process is about to end: what arrives now is refused.
@@ -57,6 +59,8 @@
 
   // Finds route and account. False when the request was refused; `refusal` says how.
   bool Admit();
+  // Takes a token of the account; false when the request was refused.
+  Task<bool> TakeToken();
   void Refuse(unsigned aStatus, std::string_view aReason, std::chrono::milliseconds aRetryAfter);
   void PrepareWish();
   std::string PickService();
--- a/src/edge/store_follower.cc
+++ b/src/edge/store_follower.cc
@@ -8,19 +8,56 @@
 namespace plantainhaven::edge {
 namespace {
 
-// Pause after a call that failed.
-constexpr std::chrono::milliseconds kRetryPause{ 200 };
+// Changes up to this size are told to the other VMs of the region; larger ones they read
+// from the store, whose link is wider than a VM's.
+constexpr std::size_t kMostNewsBytes = 8 << 10;
+// An answer of the store that is older says nothing of now: two long polls.
+constexpr std::chrono::milliseconds kContactHolds{ 1500 };
+// Time during which a return of the store is told to other VMs; longer than servers take to
+// report again.
+constexpr std::chrono::milliseconds kReturnIsNews{ 5000 };
+
+double
+Draw(std::mt19937_64& aRandom)
+{
+  return std::uniform_real_distribution<double>(0, 1)(aRandom);
+}
+
+std::size_t
+BytesOf(const std::vector<platform::StoreRow>& aRows)
+{
+  std::size_t bytes = 0;
+  for (const platform::StoreRow& row : aRows) {
+    bytes += row.key.size() + row.value.size();
+  }
+  return bytes;
+}
+
+std::vector<platform::StoreRow>
+RowsOf(const TableNews& aNews)
+{
+  std::vector<platform::StoreRow> rows;
+  rows.reserve(static_cast<std::size_t>(aNews.rows_size()));
+  for (const NewsRow& row : aNews.rows()) {
+    rows.push_back({ row.key(), row.value(), row.version(), row.removed() });
+  }
+  return rows;
+}
 
 } // namespace
 
 TableFollower::TableFollower(asio::io_context& aContext,
                              platform::StoreClient& aClient,
                              Options aOptions,
-                             Reader aReader)
+                             Reader aReader,
+                             NewsLink aLink)
   : timer(aContext)
   , client(aClient)
   , options(std::move(aOptions))
   , reader(std::move(aReader))
+  , link(std::move(aLink))
+  , random(std::random_device{}())
+  , turn(this->options.self, { .wait = this->options.wait }, Draw(this->random))
 {
 }
 
@@ -28,6 +65,7 @@
 TableFollower::Run()
 {
   while (true) {
+    co_await this->AwaitTurn();
     const BootTime startedAt = BootClock::Now();
     bool isDone = false;
     if (this->isWhole) {
@@ -37,44 +75,70 @@
     }
     this->reader.onRound();
     const auto passed = ToMilliseconds(BootClock::Now() - startedAt);
-    const auto interval = isDone ? this->options.interval : kRetryPause;
-    if (passed < interval) {
-      co_await Sleep(this->timer, interval - passed);
+    if (isDone && passed < this->options.interval) {
+      co_await Sleep(this->timer, this->options.interval - passed);
     }
   }
 }
 
+Task<void>
+TableFollower::AwaitTurn()
+{
+  while (true) {
+    const auto left = this->turn.NextCall() - BootClock::Now();
+    if (left <= BootClock::duration(0)) {
+      co_return;
+    }
+    co_await Sleep(this->timer, ToMilliseconds(left) + std::chrono::milliseconds(1));
+  }
+}
+
+void
+TableFollower::OnRegained(BootTime aSince)
+{
+  Log(LogLevel::kInfo,
+      "store_regained",
+      { { "table", this->options.table }, { "version", this->version } });
+  this->isLost = false;
+  this->hasReturned = true;
+  this->reader.onRegained(aSince);
+}
+
 void
 TableFollower::OnResult(const Error* aError)
 {
-  if (aError != nullptr && !this->isLost) {
-    Log(LogLevel::kWarning,
-        "store_lost",
-        { { "table", this->options.table },
-          { "error", aError->message },
-          { "version", this->version } });
+  const BootTime now = BootClock::Now();
+  if (aError != nullptr) {
+    this->turn.OnOwnFailure(this->link.readers(), now);
+    this->contactSince = BootTime{};
+    if (!this->isLost) {
+      Log(LogLevel::kWarning,
+          "store_lost",
+          { { "table", this->options.table },
+            { "error", aError->message },
+            { "version", this->version } });
+    }
+    this->isLost = true;
+    return;
   }
-  if (aError == nullptr && this->isLost) {
-    Log(LogLevel::kInfo,
-        "store_regained",
-        { { "table", this->options.table }, { "version", this->version } });
-    this->reader.onRegained();
+  this->turn.OnOwnAnswer(now);
+  if (this->contactSince == BootTime{}) {
+    this->contactSince = now;
   }
-  this->isLost = aError != nullptr;
+  this->answeredAt = now;
   if (this->isLost) {
-    this->contactSince = BootTime{};
-  } else if (this->contactSince == BootTime{}) {
-    this->contactSince = BootClock::Now();
+    this->OnRegained(now);
   }
 }
 
 std::chrono::milliseconds
 TableFollower::ContactTime() const
 {
-  if (this->contactSince == BootTime{}) {
+  const BootTime now = BootClock::Now();
+  if (this->contactSince == BootTime{} || now - this->answeredAt > kContactHolds) {
     return std::chrono::milliseconds(0);
   }
-  return ToMilliseconds(BootClock::Now() - this->contactSince);
+  return ToMilliseconds(now - this->contactSince);
 }
 
 Task<bool>
@@ -87,19 +151,18 @@
   }
   const platform::TableRead& read = ValueOf(result);
   this->reader.onReset();
-  for (const platform::StoreRow& row : read.rows) {
-    this->reader.onRow(row);
-  }
-  this->version = read.version;
+  this->Apply(read.rows, read.version);
   this->isWhole = true;
+  this->Tell({}, this->version);
   co_return true;
 }
 
 Task<bool>
 TableFollower::ReadChanges()
 {
-  const Result<platform::TableChanges> result =
-    co_await this->client.ReadChanges(this->options.table, this->version, this->options.wait);
+  const std::uint64_t after = this->version;
+  const Result<platform::TableChanges> result = co_await this->client.ReadChanges(
+    this->options.table, after, this->turn.CallWait(BootClock::Now()));
   this->OnResult(std::get_if<Error>(&result));
   if (!IsOk(result)) {
     co_return false;
@@ -110,13 +173,74 @@
     this->isWhole = false;
     co_return true;
   }
-  for (const platform::StoreRow& row : changes.rows) {
-    this->reader.onRow(row);
+  // Meanwhile news may have brought more than this answer holds.
+  if (changes.version >= this->version) {
+    this->Apply(changes.rows, changes.version);
   }
-  this->version = changes.version;
+  this->Tell(changes.rows, after);
   co_return true;
 }
 
+void
+TableFollower::Apply(const std::vector<platform::StoreRow>& aRows, std::uint64_t aVersion)
+{
+  for (const platform::StoreRow& row : aRows) {
+    this->reader.onRow(row);
+  }
+  this->version = aVersion;
+}
+
+void
+TableFollower::Tell(const std::vector<platform::StoreRow>& aRows, std::uint64_t aAfter) const
+{
+  const auto contact = this->ContactTime();
+  TableNews news;
+  news.set_table(this->options.table);
+  news.set_after(aAfter);
+  news.set_version(this->version);
+  news.set_store_contact_ms(static_cast<std::uint64_t>(contact.count()));
+  news.set_store_was_away(this->hasReturned && contact < kReturnIsNews);
+  news.set_rows_omitted(BytesOf(aRows) > kMostNewsBytes);
+  for (const platform::StoreRow& row : aRows) {
+    if (news.rows_omitted()) {
+      break;
+    }
+    NewsRow* const told = news.add_rows();
+    told->set_key(row.key);
+    told->set_value(row.value);
+    told->set_version(row.version);
+    told->set_removed(row.isRemoved);
+  }
+  this->link.send(news);
+}
+
+void
+TableFollower::OnNews(const std::string& aFrom, const TableNews& aNews)
+{
+  if (!this->isWhole || aNews.version() < this->version) {
+    return;
+  }
+  const BootTime now = BootClock::Now();
+  const BootTime contact = now - std::chrono::milliseconds(aNews.store_contact_ms());
+  this->turn.OnPeerAnswer(aFrom, Draw(this->random), now);
+  this->answeredAt = now;
+  const bool isReturn = aNews.store_was_away() && contact > this->contactSince;
+  this->contactSince = std::max(this->contactSince, contact);
+  if (this->isLost || isReturn) {
+    this->OnRegained(contact);
+  }
+  if (aNews.version() == this->version) {
+    return;
+  }
+  if (aNews.after() > this->version || aNews.rows_omitted()) {
+    this->turn.OnGap();
+    this->timer.cancel();
+    return;
+  }
+  this->Apply(RowsOf(aNews), aNews.version());
+  this->reader.onRound();
+}
+
 OperatorRows::OperatorRows(const StoreListener& aListener)
   : listener(aListener)
 {
@@ -128,7 +252,7 @@
   return { .onReset = [this] { this->avoided.clear(); },
            .onRow = [this](const platform::StoreRow& aRow) { this->OnRow(aRow); },
            .onRound = [this] { this->OnRound(); },
-           .onRegained = [] {} };
+           .onRegained = [](BootTime) {} };
 }
 
 void
@@ -211,7 +335,7 @@
   return { .onReset = [this] { this->registry.BeginRead(); },
            .onRow = [this](const platform::StoreRow& aRow) { this->OnRow(aRow); },
            .onRound = [this] { this->PublishChanges(); },
-           .onRegained = [this] { this->registry.OnStoreRegained(BootClock::Now()); } };
+           .onRegained = [this](BootTime aSince) { this->registry.OnStoreRegained(aSince); } };
 }
 
 void
--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -9,11 +9,13 @@
 
 #include <functional>
 #include <map>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "edge.pb.h"
+#include "peer.pb.h"
 
 namespace plantainhaven::edge {
 
@@ -25,18 +27,29 @@
   std::function<void(std::vector<BackendServer>, BootTime)> onServers;
 };
 
+// The other VMs of the region, as far as they share what they read.
+struct NewsLink
+{
+  // Tells all of them.
+  std::function<void(const TableNews&)> send;
+  // How many read along, this VM included.
+  std::function<std::size_t()> readers;
+};
+
 // Keeps a copy of one table of the store: reads it whole, then its changes, and starts
-// again when the history is gone. Calls `onRow` for each row and `onRound` after each
-// answer.
+// again when the history is gone. Changes come from the store or from a VM of the region
+// that has read them. Calls `onRow` for each row and `onRound` after each answer.
 class TableFollower
 {
 public:
   struct Options
   {
     std::string table;
-    std::chrono::milliseconds wait{ 1000 };
+    std::chrono::milliseconds wait{ 700 };
     // Shortest time between two calls.
     std::chrono::milliseconds interval{ 0 };
+    // Name of this VM.
+    std::string self;
   };
   struct Reader
   {
@@ -44,32 +57,46 @@
     std::function<void()> onReset;
     std::function<void(const platform::StoreRow&)> onRow;
     std::function<void()> onRound;
-    // The store answers again after calls that failed.
-    std::function<void()> onRegained;
+    // The store answers again, since the given time, after calls that failed.
+    std::function<void(BootTime)> onRegained;
   };
 
   TableFollower(asio::io_context& aContext,
                 platform::StoreClient& aClient,
                 Options aOptions,
-                Reader aReader);
+                Reader aReader,
+                NewsLink aLink);
   // Runs until the context ends.
   Task<void> Run();
-  // How long the store has answered every call; zero while it doesn't.
+  // How long the store has answered every call of this VM and of those it hears from; zero
+  // while it doesn't.
   std::chrono::milliseconds ContactTime() const;
+  // What a VM of the region has read.
+  void OnNews(const std::string& aFrom, const TableNews& aNews);
 
 private:
+  Task<void> AwaitTurn();
   Task<bool> ReadAll();
   Task<bool> ReadChanges();
   void OnResult(const Error* aError);
+  void OnRegained(BootTime aSince);
+  void Apply(const std::vector<platform::StoreRow>& aRows, std::uint64_t aVersion);
+  void Tell(const std::vector<platform::StoreRow>& aRows, std::uint64_t aAfter) const;
 
   asio::steady_timer timer;
   platform::StoreClient& client;
   Options options;
   Reader reader;
+  NewsLink link;
+  std::mt19937_64 random;
+  PollTurn turn;
   bool isWhole = false;
   bool isLost = false;
   std::uint64_t version = 0;
   BootTime contactSince{};
+  // The contact began with the return of a store that had been away.
+  bool hasReturned = false;
+  BootTime answeredAt{};
 };
 
 // What the operator wrote: configuration and failure domains to be emptied.
--- a/src/edge/traffic.cc
+++ b/src/edge/traffic.cc
@@ -28,11 +28,6 @@
 // Time kept at the end of the grace for closing and for the end of the process.
 constexpr std::chrono::milliseconds kStopMargin{ 400 };
 constexpr std::chrono::milliseconds kStopPoll{ 20 };
-// Peers that are asked for tokens of an account at once.
-constexpr std::size_t kLendersAsked = 2;
-// Share of the fleet's retry slack that one VM may keep in stock: VMs that start or join
-// together stay below the whole.
-constexpr double kRetryStockShare = 0.04;
 constexpr double kRetryRatioUsed = 0.9;
 // Part of the largest shift that is used in two seconds, and the steps in that time.
 constexpr double kShiftUsed = 0.6;
@@ -45,7 +40,7 @@
   options.vm = aSettings.vm().name();
   options.region = aSettings.vm().region();
   options.retryRatio = aBounds.retryRatio * kRetryRatioUsed;
-  options.retryStock = std::max(1.0, aBounds.retrySlack * kRetryStockShare);
+  options.retrySlack = aBounds.retrySlack;
   options.planStep = aBounds.largestShift * kShiftUsed / kStepsPerShiftWindow;
   return options;
 }
@@ -62,10 +57,11 @@
   , settings(aSettings)
   , bounds(aBounds)
   , metrics(aMetrics)
-  , sendToPeer(std::move(aSendToPeer))
   , publishReport(std::move(aPublishReport))
   , dispatcher(aContext, OptionsOf(aSettings, aBounds), aMetrics)
-  , state{ aContext, dispatcher, pool, aMetrics, std::mt19937_64(std::random_device{}()) }
+  , random(std::random_device{}())
+  , tokens(aContext, aMetrics, std::move(aSendToPeer), this->random)
+  , state{ aContext, dispatcher, tokens, pool, aMetrics, this->random }
 {
 }
 
@@ -139,7 +135,7 @@
     co_await Sleep(timer, kTick);
     this->dispatcher.Tick();
     if (tick % kTicksPerTokenRound == 0) {
-      this->AskForTokens();
+      this->tokens.Tick();
     }
     if (tick % kTicksPerIdleSweep == 0) {
       this->pool.CloseIdle();
@@ -165,6 +161,12 @@
 void
 Traffic::SetRouting(RoutingPtr aRouting)
 {
+  std::vector<TokenLimit> limits;
+  limits.reserve(aRouting->accounts.size());
+  for (const Account& account : aRouting->accounts) {
+    limits.push_back({ account.name, account.rate, account.burst });
+  }
+  this->tokens.Bank().SetLimits(limits, BootClock::Now());
   this->dispatcher.SetRouting(std::move(aRouting));
 }
 
@@ -189,6 +191,7 @@
 Traffic::SetFleet(FleetView aFleet)
 {
   this->fleet = std::move(aFleet);
+  this->tokens.SetHolders(this->fleet.holders);
   this->dispatcher.SetPeers(this->fleet.senders);
   this->dispatcher.SetPeerDemand(this->fleet.demand);
   for (const auto& [service, plan] : this->fleet.plans) {
@@ -197,62 +200,9 @@
 }
 
 void
-Traffic::SetQuotaPart(double aPart)
-{
-  this->dispatcher.Tokens().SetPart(aPart, BootClock::Now());
-}
-
-void
-Traffic::AskForTokens()
-{
-  const BootTime now = BootClock::Now();
-  std::erase_if(this->tokenAsks,
-                [now](const auto& aAsk) { return now - aAsk.second > std::chrono::seconds(2); });
-  std::vector<std::string>& peers = this->fleet.peers;
-  for (const TokenWish& wish : this->dispatcher.Tokens().Wishes(now)) {
-    std::shuffle(peers.begin(), peers.end(), this->state.random);
-    for (std::size_t i = 0; i < std::min(kLendersAsked, peers.size()); ++i) {
-      this->AskPeer(wish, peers[i]);
-    }
-  }
-}
-
-void
-Traffic::AskPeer(const TokenWish& aWish, const std::string& aEndpoint)
+Traffic::SetQuotaRange(const QuotaRange& aRange)
 {
-  Envelope message;
-  message.set_ask_id(this->nextAsk++);
-  message.mutable_token_ask()->set_account(aWish.account);
-  message.mutable_token_ask()->set_amount(aWish.amount);
-  this->tokenAsks.emplace(message.ask_id(), BootClock::Now());
-  this->sendToPeer(aEndpoint, std::move(message));
-}
-
-void
-Traffic::OnTokenAsk(const Envelope& aMessage)
-{
-  const TokenAsk& ask = aMessage.token_ask();
-  const double lent = this->dispatcher.Tokens().Lend(ask.account(), ask.amount(), BootClock::Now());
-  if (lent <= 0) {
-    return;
-  }
-  Envelope answer;
-  answer.set_ask_id(aMessage.ask_id());
-  answer.mutable_token_grant()->set_account(ask.account());
-  answer.mutable_token_grant()->set_amount(lent);
-  this->sendToPeer(aMessage.reply_to(), std::move(answer));
-}
-
-void
-Traffic::OnTokenGrant(const Envelope& aMessage)
-{
-  const auto ask = this->tokenAsks.find(aMessage.ask_id());
-  if (ask == this->tokenAsks.end()) {
-    return;
-  }
-  const TokenGrant& grant = aMessage.token_grant();
-  this->dispatcher.Tokens().OnGrant(grant.account(), grant.amount(), ask->second, BootClock::Now());
-  this->tokenAsks.erase(ask);
+  this->tokens.Bank().SetRange(aRange, BootClock::Now());
 }
 
 void
--- a/src/edge/traffic.h
+++ b/src/edge/traffic.h
@@ -5,6 +5,7 @@
 #include "edge/net.h"
 #include "edge/request_run.h"
 #include "edge/simple_server.h"
+#include "edge/token_desk.h"
 #include "edge/upstream_pool.h"
 #include "plantainhaven/common/metrics.h"
 #include "plantainhaven/policy/placing/caller_directory.h"
@@ -27,17 +28,14 @@
   std::vector<EntryVm> entries;
   // VMs that may send requests to backend servers, this one included.
   std::vector<PlacingPeer> senders;
-  // Endpoints of the other VMs that were heard lately.
-  std::vector<std::string> peers;
+  // The other VMs that give out parts of the limits and were heard lately.
+  std::vector<QuotaHolder> holders;
   // Demand of the other VMs by service and region.
   std::map<std::string, std::map<std::string, double>> demand;
   // Split that another VM of this region uses, by service.
   std::map<std::string, std::vector<RegionShare>> plans;
 };
 
-// Sends a message to another VM.
-using PeerSender = std::function<void(const std::string& aEndpoint, Envelope aMessage)>;
-
 // Callers, look-ups and backend servers. All methods run on the thread of its context;
 // other threads post to it.
 class Traffic
@@ -59,17 +57,15 @@
   void SetServers(const std::vector<BackendServer>& aServers, BootTime aReadAt);
   void SetAvoidedDomains(const std::vector<std::string>& aDomains);
   void SetFleet(FleetView aFleet);
-  void SetQuotaPart(double aPart);
-  void OnTokenAsk(const Envelope& aMessage);
-  void OnTokenGrant(const Envelope& aMessage);
+  void OnPeerReport(const VmReport& aReport) { this->dispatcher.OnPeerLoads(aReport); }
+  void SetQuotaRange(const QuotaRange& aRange);
+  TokenDesk& Tokens() { return this->tokens; }
 
 private:
   Task<void> AcceptCallers(Tcp::acceptor aAcceptor);
   Task<void> RunTicks();
   Task<void> RunReports();
   Task<void> RunStop(std::function<void()> aOnStopped);
-  void AskForTokens();
-  void AskPeer(const TokenWish& aWish, const std::string& aEndpoint);
   SimpleAnswer AnswerLookup(std::string_view aTarget) const;
   bool IsReady() const;
 
@@ -77,15 +73,13 @@
   const EdgedSettings& settings;
   platform::Bounds bounds;
   Metrics& metrics;
-  PeerSender sendToPeer;
   std::function<void(VmReport)> publishReport;
   Dispatcher dispatcher;
+  std::mt19937_64 random;
+  TokenDesk tokens;
   UpstreamPool pool;
   TrafficState state;
   FleetView fleet;
-  // When the asks for tokens that have no answer yet were sent.
-  std::map<std::uint64_t, BootTime> tokenAsks;
-  std::uint64_t nextAsk = 1;
 };
 
 } // namespace plantainhaven::edge
--- a/src/policy/placing/placement.cc
+++ b/src/policy/placing/placement.cc
@@ -31,6 +31,23 @@
   std::vector<RegionShare> plan;
   double warmupRate = 0;
   double usualTime = 0;
+  // Servers that may be used but for what changes by itself with time, by region.
+  std::map<std::string, std::vector<ServerRecord*>> byRegion;
+};
+
+// A server with its place in an object's order; the highest rank comes first.
+struct Ranked
+{
+  std::uint64_t rank = 0;
+  ServerRecord* record = nullptr;
+
+  bool operator<(const Ranked& aOther) const { return this->rank < aOther.rank; }
+};
+
+struct Sender
+{
+  PlacingPeer peer;
+  std::uint64_t hash = 0;
 };
 
 // Where an object lies between 0 and 1 for the split between regions.
@@ -45,30 +62,38 @@
 
 struct Placement::Impl
 {
-  using Records = std::vector<ServerRecord*>;
-
   ServerRecord* Find(const std::string& aServer);
   double UsualTime(std::string_view aService) const;
-  // Not draining, not in an emptied failure domain, not ejected; of a cold server only if
-  // this VM is among those that warm it.
-  bool IsUsable(const ServerRecord& aRecord, BootTime aNow) const;
-  bool WarmsUp(const ServerRecord& aRecord) const;
+  // Sorts the servers by service and region anew.
+  void BuildIndex();
+  // Whether time allows the server: not ejected; a cold one only if this VM is among those
+  // that warm it.
+  bool IsUsableNow(const ServerRecord& aRecord, BootTime aNow);
+  bool WarmsUp(const ServerRecord& aRecord);
+  bool IsAmongWarmers(const ServerRecord& aRecord) const;
+  bool HasNearSender(const std::string& aRegion) const;
   std::chrono::nanoseconds ColdInterval(const ServerRecord& aRecord) const;
   std::size_t ColdSenderCount(const ServerRecord& aRecord) const;
   bool HasRoom(const ServerRecord& aRecord, double aUsualTime, BootTime aNow) const;
-  Records Usable(const PlacingRequest& aRequest, const std::string& aRegion, BootTime aNow);
   std::vector<std::string> RegionOrder(const PlacingRequest& aRequest) const;
-  Placing ChooseAmong(Records& aRecords, const PlacingRequest& aRequest, BootTime aNow) const;
+  // The servers of the region that may be used, ranked for the object, in `ranked`.
+  void Rank(const PlacingRequest& aRequest, const std::string& aRegion, BootTime aNow);
+  Placing ChooseRanked(const PlacingRequest& aRequest, BootTime aNow);
 
   std::string self;
   std::uint64_t selfHash = 0;
   std::string region;
   std::map<std::string, ServerRecord> servers;
-  std::unordered_map<std::string, std::vector<std::string>> idsByService;
+  std::unordered_map<std::uint64_t, ServerRecord*> byHash;
   std::map<std::string, ServiceRecord, std::less<>> services;
   std::set<std::string> avoided;
   std::set<std::string> regions;
-  std::vector<PlacingPeer> peers;
+  std::vector<Sender> senders;
+  std::map<std::string, std::size_t> sendersByRegion;
+  // Whether this VM warms a server, by the server's hash, while the senders stay the same.
+  std::unordered_map<std::uint64_t, bool> warms;
+  // Kept between calls for its memory.
+  std::vector<Ranked> ranked;
 };
 
 ServerRecord*
@@ -85,31 +110,64 @@
   return found == this->services.end() ? 0 : found->second.usualTime;
 }
 
+void
+Placement::Impl::BuildIndex()
+{
+  this->byHash.clear();
+  this->warms.clear();
+  for (auto& [name, service] : this->services) {
+    service.byRegion.clear();
+  }
+  for (auto& [id, record] : this->servers) {
+    const BackendServer& entry = record.Entry();
+    this->byHash[record.Hash()] = &record;
+    record.SetAvoided(this->avoided.contains(entry.failureDomain));
+    this->regions.insert(entry.region);
+    if (!entry.isDraining && !record.IsAvoided()) {
+      this->services[entry.service].byRegion[entry.region].push_back(&record);
+    }
+  }
+}
+
+bool
+Placement::Impl::HasNearSender(const std::string& aRegion) const
+{
+  const auto found = this->sendersByRegion.find(aRegion);
+  return found != this->sendersByRegion.end() && found->second > 0;
+}
+
 std::size_t
 Placement::Impl::ColdSenderCount(const ServerRecord& aRecord) const
 {
-  const auto near = static_cast<std::size_t>(
-    std::count_if(this->peers.begin(), this->peers.end(), [&aRecord](const PlacingPeer& aPeer) {
-      return aPeer.region == aRecord.Entry().region;
-    }));
-  return std::min(kColdSenders, near > 0 ? near : this->peers.size());
+  const auto near = this->sendersByRegion.find(aRecord.Entry().region);
+  const std::size_t count =
+    near == this->sendersByRegion.end() ? this->senders.size() : near->second;
+  return std::min(kColdSenders, count);
+}
+
+bool
+Placement::Impl::WarmsUp(const ServerRecord& aRecord)
+{
+  const auto [known, isNew] = this->warms.try_emplace(aRecord.Hash(), false);
+  if (isNew) {
+    known->second = this->IsAmongWarmers(aRecord);
+  }
+  return known->second;
 }
 
 bool
-Placement::Impl::WarmsUp(const ServerRecord& aRecord) const
+Placement::Impl::IsAmongWarmers(const ServerRecord& aRecord) const
 {
   const std::string& home = aRecord.Entry().region;
-  const bool hasNear = std::any_of(this->peers.begin(),
-                                   this->peers.end(),
-                                   [&home](const auto& aPeer) { return aPeer.region == home; });
+  const bool hasNear = this->HasNearSender(home);
   if (hasNear && this->region != home) {
     return false;
   }
   const std::uint64_t own = RendezvousRank(aRecord.Hash(), this->selfHash);
   std::size_t ahead = 0;
-  for (const PlacingPeer& peer : this->peers) {
-    const bool counts = peer.name != this->self && (!hasNear || peer.region == home);
-    if (counts && RendezvousRank(aRecord.Hash(), StableHash(peer.name)) > own) {
+  for (const Sender& sender : this->senders) {
+    const bool counts = sender.hash != this->selfHash && (!hasNear || sender.peer.region == home);
+    if (counts && RendezvousRank(aRecord.Hash(), sender.hash) > own) {
       ++ahead;
     }
   }
@@ -124,18 +182,14 @@
   if (rate <= 0) {
     return std::chrono::nanoseconds(0);
   }
-  const double senders =
+  const double sharing =
     static_cast<double>(std::max<std::size_t>(1, this->ColdSenderCount(aRecord)));
-  return std::chrono::duration_cast<std::chrono::nanoseconds>(Seconds(senders / (rate * kColdUse)));
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(Seconds(sharing / (rate * kColdUse)));
 }
 
 bool
-Placement::Impl::IsUsable(const ServerRecord& aRecord, BootTime aNow) const
+Placement::Impl::IsUsableNow(const ServerRecord& aRecord, BootTime aNow)
 {
-  const BackendServer& entry = aRecord.Entry();
-  if (entry.isDraining || this->avoided.contains(entry.failureDomain)) {
-    return false;
-  }
   return !aRecord.IsEjected(aNow) && (!aRecord.IsCold(aNow) || this->WarmsUp(aRecord));
 }
 
@@ -145,28 +199,30 @@
   if (aRecord.IsCold(aNow) && !aRecord.MaySendWhileCold(this->ColdInterval(aRecord), aNow)) {
     return false;
   }
-  return aRecord.LoadAt(aNow) < aRecord.UsableSlots(aUsualTime);
+  return aRecord.LoadAt(aUsualTime, aNow) < aRecord.UsableSlots(aUsualTime);
 }
 
-Placement::Impl::Records
-Placement::Impl::Usable(const PlacingRequest& aRequest, const std::string& aRegion, BootTime aNow)
+void
+Placement::Impl::Rank(const PlacingRequest& aRequest, const std::string& aRegion, BootTime aNow)
 {
-  Records records;
-  const auto ids = this->idsByService.find(std::string(aRequest.service));
-  if (ids == this->idsByService.end()) {
-    return records;
+  this->ranked.clear();
+  const auto service = this->services.find(aRequest.service);
+  if (service == this->services.end()) {
+    return;
+  }
+  const auto records = service->second.byRegion.find(aRegion);
+  if (records == service->second.byRegion.end()) {
+    return;
   }
-  for (const std::string& id : ids->second) {
-    ServerRecord* const record = this->Find(id);
-    const bool wasTried = aRequest.excluded != nullptr &&
-                          std::find(aRequest.excluded->begin(), aRequest.excluded->end(), id) !=
-                            aRequest.excluded->end();
-    if (record != nullptr && !wasTried && record->Entry().region == aRegion &&
-        this->IsUsable(*record, aNow)) {
-      records.push_back(record);
+  for (ServerRecord* const record : records->second) {
+    const bool wasTried =
+      aRequest.excluded != nullptr &&
+      std::find(aRequest.excluded->begin(), aRequest.excluded->end(), record->Entry().id) !=
+        aRequest.excluded->end();
+    if (!wasTried && this->IsUsableNow(*record, aNow)) {
+      this->ranked.push_back({ RendezvousRank(aRequest.object, record->Hash()), record });
     }
   }
-  return records;
 }
 
 // The planned region first, then this VM's own, then the others by name.
@@ -192,18 +248,20 @@
 }
 
 Placing
-Placement::Impl::ChooseAmong(Records& aRecords, const PlacingRequest& aRequest, BootTime aNow) const
-{
-  std::sort(aRecords.begin(), aRecords.end(), [&aRequest](const auto* aLeft, const auto* aRight) {
-    return RendezvousRank(aRequest.object, aLeft->Hash()) >
-           RendezvousRank(aRequest.object, aRight->Hash());
-  });
-  const auto base = static_cast<std::size_t>(static_cast<double>(aRecords.size()) * kSpreadShare);
-  const std::size_t spread = std::max(kLeastSpread, base);
+Placement::Impl::ChooseRanked(const PlacingRequest& aRequest, BootTime aNow)
+{
+  const auto base =
+    static_cast<std::size_t>(static_cast<double>(this->ranked.size()) * kSpreadShare);
+  const std::size_t spread = std::min(std::max(kLeastSpread, base), this->ranked.size());
   const double usual = this->UsualTime(aRequest.service);
-  for (std::size_t i = 0; i < std::min(spread, aRecords.size()); ++i) {
-    if (this->HasRoom(*aRecords[i], usual, aNow)) {
-      return { PlacingState::kSend, &aRecords[i]->Entry() };
+  // Mostly the first has room, so the order is found only as far as it is needed.
+  std::make_heap(this->ranked.begin(), this->ranked.end());
+  for (std::size_t i = 0; i < spread; ++i) {
+    std::pop_heap(this->ranked.begin(), this->ranked.end());
+    const ServerRecord& record = *this->ranked.back().record;
+    this->ranked.pop_back();
+    if (this->HasRoom(record, usual, aNow)) {
+      return { PlacingState::kSend, &record.Entry() };
     }
   }
   return { PlacingState::kBusy, nullptr };
@@ -223,7 +281,6 @@
 Placement::SetServers(const std::vector<BackendServer>& aServers, BootTime aReadAt)
 {
   std::map<std::string, ServerRecord> kept;
-  this->impl->idsByService.clear();
   for (const BackendServer& server : aServers) {
     const auto old = this->impl->servers.find(server.id);
     const bool isSame = old != this->impl->servers.end() &&
@@ -236,11 +293,10 @@
     } else {
       kept.emplace(server.id, ServerRecord(server, aReadAt));
     }
-    this->impl->idsByService[server.service].push_back(server.id);
     this->impl->services.try_emplace(server.service);
-    this->impl->regions.insert(server.region);
   }
   this->impl->servers = std::move(kept);
+  this->impl->BuildIndex();
 }
 
 void
@@ -262,12 +318,35 @@
     }
   }
   this->impl->avoided = next;
+  this->impl->BuildIndex();
 }
 
 void
 Placement::SetPeers(std::vector<PlacingPeer> aPeers)
 {
-  this->impl->peers = std::move(aPeers);
+  std::vector<Sender> senders;
+  senders.reserve(aPeers.size());
+  for (PlacingPeer& peer : aPeers) {
+    const std::uint64_t hash = StableHash(peer.name);
+    senders.push_back({ std::move(peer), hash });
+  }
+  const bool isSame =
+    std::equal(senders.begin(),
+               senders.end(),
+               this->impl->senders.begin(),
+               this->impl->senders.end(),
+               [](const Sender& aLeft, const Sender& aRight) {
+                 return aLeft.hash == aRight.hash && aLeft.peer.region == aRight.peer.region;
+               });
+  if (isSame) {
+    return;
+  }
+  this->impl->senders = std::move(senders);
+  this->impl->warms.clear();
+  this->impl->sendersByRegion.clear();
+  for (const Sender& sender : this->impl->senders) {
+    ++this->impl->sendersByRegion[sender.peer.region];
+  }
 }
 
 void
@@ -280,9 +359,9 @@
 Placement::Choose(const PlacingRequest& aRequest, BootTime aNow)
 {
   for (const std::string& name : this->impl->RegionOrder(aRequest)) {
-    Impl::Records records = this->impl->Usable(aRequest, name, aNow);
-    if (!records.empty()) {
-      return this->impl->ChooseAmong(records, aRequest, aNow);
+    this->impl->Rank(aRequest, name, aNow);
+    if (!this->impl->ranked.empty()) {
+      return this->impl->ChooseRanked(aRequest, aNow);
     }
   }
   return {};
@@ -322,6 +401,15 @@
   }
 }
 
+void
+Placement::OnPeerLoad(std::uint64_t aServerHash, int aRequests, BootTime aNow)
+{
+  const auto found = this->impl->byHash.find(aServerHash);
+  if (found != this->impl->byHash.end()) {
+    found->second->OnPeerLoad(aRequests, aNow);
+  }
+}
+
 std::vector<RegionState>
 Placement::Regions(const std::string& aService, BootTime aNow) const
 {
@@ -331,8 +419,8 @@
   }
   for (const auto& [id, record] : this->impl->servers) {
     const BackendServer& entry = record.Entry();
-    const bool counts = entry.service == aService && !entry.isDraining &&
-                        !this->impl->avoided.contains(entry.failureDomain) && !record.IsCold(aNow);
+    const bool counts =
+      entry.service == aService && !entry.isDraining && !record.IsAvoided() && !record.IsCold(aNow);
     slots[entry.region] += counts ? entry.slots : 0;
   }
   std::vector<RegionState> states;
@@ -369,8 +457,9 @@
 bool
 Placement::MayUse(const std::string& aServer, BootTime aNow) const
 {
-  const auto found = this->impl->servers.find(aServer);
-  return found != this->impl->servers.end() && this->impl->IsUsable(found->second, aNow);
+  const ServerRecord* const record = this->impl->Find(aServer);
+  return record != nullptr && !record->Entry().isDraining && !record->IsAvoided() &&
+         this->impl->IsUsableNow(*record, aNow);
 }
 
 } // namespace plantainhaven::placing
--- a/src/policy/placing/quota_parts.cc
+++ b/src/policy/placing/quota_parts.cc
@@ -1,8 +1,22 @@
 #include "plantainhaven/policy/placing/quota_parts.h"
 
+#include "plantainhaven/policy/placing/rendezvous.h"
+
 #include <algorithm>
+#include <cmath>
 
 namespace plantainhaven::placing {
+namespace {
+
+// Tokens of burst in a unit: enough for some requests that arrive together.
+constexpr double kUnitBurst = 6;
+// Units that an account has if each still holds kLeastUnitBurst, so that the loss of one VM
+// leaves the others.
+constexpr double kLeastUnits = 4;
+constexpr double kLeastUnitBurst = 2;
+constexpr double kMostUnits = 64;
+
+} // namespace
 
 std::optional<std::vector<QuotaPart>>
 ShareQuota(const std::vector<QuotaPart>& aParts, const std::string& aGiver, std::size_t aMost)
@@ -15,13 +29,39 @@
   const auto target = kWholeQuota / static_cast<std::uint32_t>(aParts.size());
   std::vector<QuotaPart> changed{ *giver };
   for (const QuotaPart& part : aParts) {
-    const bool mayGive = changed.front().millionths >= 2 * target;
-    if (part.millionths == 0 && mayGive && changed.size() <= aMost) {
-      changed.front().millionths -= target;
-      changed.push_back({ part.vm, target });
+    const bool mayGive = changed.front().range.Length() >= 2 * target;
+    if (part.range.IsEmpty() && mayGive && changed.size() <= aMost) {
+      const std::uint32_t end = changed.front().range.end;
+      changed.front().range.end = end - target;
+      changed.push_back({ part.vm, { end - target, end } });
     }
   }
   return changed.size() < 2 ? std::nullopt : std::optional(changed);
 }
 
+std::vector<std::uint32_t>
+UnitPositions(std::string_view aAccount, double aBurst)
+{
+  const double least = std::clamp(std::floor(aBurst / kLeastUnitBurst), 1.0, kLeastUnits);
+  const double count = std::clamp(std::floor(aBurst / kUnitBurst), least, kMostUnits);
+  const double step = kWholeQuota / count;
+  const auto first = static_cast<double>(StableHash(aAccount) % kWholeQuota);
+  std::vector<std::uint32_t> positions;
+  for (int i = 0; i < static_cast<int>(count); ++i) {
+    positions.push_back(static_cast<std::uint32_t>(first + i * step) % kWholeQuota);
+  }
+  return positions;
+}
+
+double
+HeldPart(const std::vector<std::uint32_t>& aPositions, const QuotaRange& aRange)
+{
+  const auto held =
+    std::count_if(aPositions.begin(), aPositions.end(), [&aRange](std::uint32_t aPosition) {
+      return aRange.Holds(aPosition);
+    });
+  return aPositions.empty() ? 0
+                            : static_cast<double>(held) / static_cast<double>(aPositions.size());
+}
+
 } // namespace plantainhaven::placing
--- a/src/policy/placing/server_record.cc
+++ b/src/policy/placing/server_record.cc
@@ -11,8 +11,12 @@
 
 using Milliseconds = std::chrono::duration<double, std::milli>;
 
-// A load report loses half of its weight in this time, a few service times.
-constexpr Milliseconds kReportHalfLife{ 200 };
+// A load report loses half of its weight in this part of the usual time of a request, since
+// about as many requests end meanwhile, but not sooner than in the shortest half-life.
+constexpr double kReportHalfLife = 0.5;
+constexpr double kShortestHalfLifeMs = 200;
+// An own report that is older than this is replaced by what other VMs have seen.
+constexpr std::chrono::milliseconds kOwnReportHolds{ 250 };
 // Weight of the newest sample in the moving averages.
 constexpr double kFailureWeight = 0.2;
 constexpr double kTimeWeight = 0.1;
@@ -134,13 +138,24 @@
   this->othersAt = aNow;
 }
 
+void
+ServerRecord::OnPeerLoad(int aRequests, BootTime aNow)
+{
+  if (aNow - this->othersAt < kOwnReportHolds) {
+    return;
+  }
+  this->others = std::max(0, aRequests - this->inFlight);
+  this->othersAt = aNow;
+}
+
 double
-ServerRecord::LoadAt(BootTime aNow) const
+ServerRecord::LoadAt(double aUsualTime, BootTime aNow) const
 {
   if (aNow < this->shedUntil) {
     return this->inFlight + this->entry.slots;
   }
-  const double age = Milliseconds(aNow - this->othersAt) / kReportHalfLife;
+  const double halfLife = std::max(kShortestHalfLifeMs, aUsualTime * kReportHalfLife);
+  const double age = Milliseconds(aNow - this->othersAt).count() / halfLife;
   return this->inFlight + this->others * std::exp2(-std::max(0.0, age));
 }
 
--- a/src/policy/placing/server_record.h
+++ b/src/policy/placing/server_record.h
@@ -23,9 +23,12 @@
   void OnSent(BootTime aNow);
   void OnEnded(SendOutcome aOutcome, std::chrono::milliseconds aTook, BootTime aNow);
   void OnLoad(const ServerLoad& aLoad, BootTime aNow);
+  // Another VM has seen so many requests there.
+  void OnPeerLoad(int aRequests, BootTime aNow);
 
-  // Requests that run or wait there, as far as this VM can tell.
-  double LoadAt(BootTime aNow) const;
+  // Requests that run or wait there, as far as this VM can tell. `aUsualTime` is the time in
+  // milliseconds that a request of the service takes.
+  double LoadAt(double aUsualTime, BootTime aNow) const;
   // Slots that are worth using: fewer where the server is slower than `aUsualTime`.
   double UsableSlots(double aUsualTime) const;
   bool IsEjected(BootTime aNow) const { return aNow < this->ejectedUntil; }
@@ -37,12 +40,16 @@
 
   const BackendServer& Entry() const { return this->entry; }
   std::uint64_t Hash() const { return this->hash; }
+  // Its failure domain is being emptied.
+  bool IsAvoided() const { return this->isAvoided; }
+  void SetAvoided(bool aIsAvoided) { this->isAvoided = aIsAvoided; }
 
 private:
   void Eject(std::chrono::milliseconds aLeast, BootTime aNow);
 
   BackendServer entry;
   std::uint64_t hash = 0;
+  bool isAvoided = false;
   int inFlight = 0;
   // Requests of other VMs, from the newest load report.
   double others = 0;
--- a/src/policy/placing/token_bank.cc
+++ b/src/policy/placing/token_bank.cc
@@ -12,8 +12,8 @@
 
 // A borrower may use a grant for this long from its ask; the lender holds the capacity
 // back for longer, counted from its answer, so that the two never overlap.
-constexpr std::chrono::milliseconds kGrantValidity{ 1000 };
-constexpr std::chrono::milliseconds kLentFor{ 1200 };
+constexpr std::chrono::milliseconds kGrantValidity{ 500 };
+constexpr std::chrono::milliseconds kLentFor{ 650 };
 // Demand of this long is kept in stock by borrowing; two exchanges between far regions.
 constexpr std::chrono::milliseconds kStockTime{ 400 };
 constexpr std::chrono::milliseconds kAskInterval{ 100 };
@@ -29,6 +29,10 @@
 struct Purse
 {
   TokenLimit limit;
+  std::vector<std::uint32_t> positions;
+  // Part of the limit that this VM gives out.
+  double part = 0;
+  std::size_t waiting = 0;
   double level = 0;
   BootTime refilledAt{};
   std::deque<Amount> lent;
@@ -72,9 +76,10 @@
   double Capacity(const Purse& aPurse, BootTime aNow) const;
   void Refill(Purse& aPurse, BootTime aNow) const;
   Purse* Find(const std::string& aAccount);
+  bool Take(Purse& aPurse) const;
 
   BootTime startedAt{};
-  double part = 0;
+  QuotaRange range;
   std::unordered_map<std::string, Purse> purses;
 };
 
@@ -83,7 +88,7 @@
 double
 TokenBank::Impl::Capacity(const Purse& aPurse, BootTime aNow) const
 {
-  const double own = aPurse.limit.burst * this->part;
+  const double own = aPurse.limit.burst * aPurse.part;
   const double usable = aNow < this->startedAt + kLentFor ? own / 2 : own;
   return std::max(0.0, usable - SumOf(aPurse.lent));
 }
@@ -94,7 +99,7 @@
   DropLapsed(aPurse.lent, aNow);
   DropLapsed(aPurse.borrowed, aNow);
   const double passed = std::max(0.0, Seconds(aNow - aPurse.refilledAt).count());
-  const double earned = aPurse.limit.rate * this->part * passed;
+  const double earned = aPurse.limit.rate * aPurse.part * passed;
   aPurse.level = std::min(this->Capacity(aPurse, aNow), aPurse.level + earned);
   aPurse.refilledAt = aNow;
 }
@@ -130,6 +135,8 @@
       purse = std::move(*old);
     }
     purse.limit = limit;
+    purse.positions = UnitPositions(limit.account, limit.burst);
+    purse.part = HeldPart(purse.positions, this->impl->range);
     purse.level = std::min(purse.level, this->impl->Capacity(purse, aNow));
     kept.emplace(limit.account, std::move(purse));
   }
@@ -137,21 +144,30 @@
 }
 
 void
-TokenBank::SetPart(double aPart, BootTime aNow)
+TokenBank::SetRange(const QuotaRange& aRange, BootTime aNow)
 {
+  this->impl->range = aRange;
   for (auto& [account, purse] : this->impl->purses) {
     this->impl->Refill(purse, aNow);
-  }
-  this->impl->part = aPart;
-  for (auto& [account, purse] : this->impl->purses) {
+    purse.part = HeldPart(purse.positions, aRange);
     purse.level = std::min(purse.level, this->impl->Capacity(purse, aNow));
   }
 }
 
-double
-TokenBank::Part() const
+bool
+TokenBank::Impl::Take(Purse& aPurse) const
 {
-  return this->impl->part;
+  for (Amount& grant : aPurse.borrowed) {
+    if (grant.tokens >= 1.0) {
+      grant.tokens -= 1.0;
+      return true;
+    }
+  }
+  if (aPurse.level < 1.0) {
+    return false;
+  }
+  aPurse.level -= 1.0;
+  return true;
 }
 
 TokenTake
@@ -164,20 +180,48 @@
   this->impl->Refill(*purse, aNow);
   FadeDemand(*purse, aNow);
   purse->demand += 1.0 / Seconds(kDemandTime).count();
-  for (Amount& grant : purse->borrowed) {
-    if (grant.tokens >= 1.0) {
-      grant.tokens -= 1.0;
-      return { .taken = true };
-    }
-  }
-  if (purse->level >= 1.0) {
-    purse->level -= 1.0;
+  if (this->impl->Take(*purse)) {
     return { .taken = true };
   }
-  const double own = std::max(purse->limit.rate * this->impl->part, 1.0);
-  const double wait = (1.0 - purse->level) / own;
-  return { .taken = false,
-           .retryAfter = std::chrono::ceil<std::chrono::milliseconds>(Seconds(wait)) };
+  return { .taken = false, .retryAfter = this->TimeToEarn(aAccount) };
+}
+
+bool
+TokenBank::TakeForWaiting(const std::string& aAccount, BootTime aNow)
+{
+  Purse* const purse = this->impl->Find(aAccount);
+  if (purse == nullptr) {
+    return true;
+  }
+  this->impl->Refill(*purse, aNow);
+  return this->impl->Take(*purse);
+}
+
+void
+TokenBank::SetWaiting(const std::string& aAccount, std::size_t aCount)
+{
+  if (Purse* const purse = this->impl->Find(aAccount)) {
+    purse->waiting = aCount;
+  }
+}
+
+std::vector<std::uint32_t>
+TokenBank::Positions(const std::string& aAccount) const
+{
+  const Purse* const purse = this->impl->Find(aAccount);
+  return purse == nullptr ? std::vector<std::uint32_t>() : purse->positions;
+}
+
+std::chrono::milliseconds
+TokenBank::TimeToEarn(const std::string& aAccount) const
+{
+  const Purse* const purse = this->impl->Find(aAccount);
+  if (purse == nullptr) {
+    return std::chrono::milliseconds(0);
+  }
+  const double own = std::max(purse->limit.rate * purse->part, 1.0);
+  const double wait = std::max(0.0, 1.0 - purse->level) / own;
+  return std::chrono::ceil<std::chrono::milliseconds>(Seconds(wait));
 }
 
 std::vector<TokenWish>
@@ -187,7 +231,8 @@
   for (auto& [account, purse] : this->impl->purses) {
     this->impl->Refill(purse, aNow);
     FadeDemand(purse, aNow);
-    const double wanted = purse.demand * Seconds(kStockTime).count();
+    const double wanted =
+      static_cast<double>(purse.waiting) + purse.demand * Seconds(kStockTime).count();
     const double held = purse.level + SumOf(purse.borrowed);
     if (wanted < 0.5 || held >= wanted || aNow < purse.askedAt + kAskInterval) {
       continue;
@@ -207,11 +252,14 @@
   }
   this->impl->Refill(*purse, aNow);
   FadeDemand(*purse, aNow);
-  const double kept = purse->demand * Seconds(kStockTime).count();
-  const double granted = std::floor(std::min(aAmount, (purse->level - kept) / 2));
-  if (granted < 1.0) {
+  const double kept =
+    static_cast<double>(purse->waiting) + purse->demand * Seconds(kStockTime).count();
+  const double free = purse->level - kept;
+  if (free < 1.0 || aAmount < 1.0) {
     return 0;
   }
+  // Half of what is free, so that others find something too.
+  const double granted = std::floor(std::min(aAmount, std::max(1.0, free / 2)));
   purse->level -= granted;
   purse->lent.push_back({ granted, aNow + kLentFor });
   return granted;
--- a/test/edge/traffic_test.cc
+++ b/test/edge/traffic_test.cc
@@ -112,7 +112,7 @@
       [](const VmReport&) {});
     this->traffic->Start();
     this->traffic->SetRouting(MakeRouting());
-    this->traffic->SetQuotaPart(1.0);
+    this->traffic->SetQuotaRange({ 0, kWholeQuota });
     this->traffic->SetServers(
       { this->MakeServer("s1", this->first), this->MakeServer("s2", this->second) },
       BootClock::Now());
--- a/test/policy/placing/fleet_rules_test.cc
+++ b/test/policy/placing/fleet_rules_test.cc
@@ -10,6 +10,8 @@
 namespace plantainhaven::placing {
 namespace {
 
+constexpr QuotaRange kWhole{ 0, kWholeQuota };
+
 TEST_CASE("Callers are sent to the VMs of their region, the nearest first")
 {
   const std::vector<EntryVm> vms{ { "1", "a:1", "north", "north-b" },
@@ -37,15 +39,15 @@
 
 TEST_CASE("The whole of the limits is shared once and keeps its sum")
 {
-  std::vector<QuotaPart> parts{ { "a", kWholeQuota }, { "b", 0 }, { "c", 0 }, { "d", 0 } };
+  std::vector<QuotaPart> parts{ { "a", kWhole }, { "b", {} }, { "c", {} }, { "d", {} } };
   const auto shared = ShareQuota(parts, "a", 90);
   REQUIRE(shared);
   CHECK(shared->size() == 4);
   CHECK(shared->front().vm == "a");
   std::uint32_t sum = 0;
   for (const QuotaPart& part : *shared) {
-    CHECK(part.millionths == kWholeQuota / 4);
-    sum += part.millionths;
+    CHECK(part.range.Length() == kWholeQuota / 4);
+    sum += part.range.Length();
   }
   CHECK(sum == kWholeQuota);
 }
@@ -54,9 +56,9 @@
 // and nearly every keyed request was refused.
 TEST_CASE("Many VMs get their parts in several writes")
 {
-  std::vector<QuotaPart> parts{ { "a", kWholeQuota } };
+  std::vector<QuotaPart> parts{ { "a", kWhole } };
   for (int i = 0; i < 89; ++i) {
-    parts.push_back({ "vm-" + std::to_string(i), 0 });
+    parts.push_back({ "vm-" + std::to_string(i), {} });
   }
   int writes = 0;
   while (const auto shared = ShareQuota(parts, "a", 49)) {
@@ -65,13 +67,16 @@
     for (const QuotaPart& changed : *shared) {
       const auto part = std::find_if(
         parts.begin(), parts.end(), [&](const QuotaPart& aPart) { return aPart.vm == changed.vm; });
-      part->millionths = changed.millionths;
+      part->range = changed.range;
     }
   }
   std::uint32_t sum = 0;
   for (const QuotaPart& part : parts) {
-    CHECK(part.millionths > 0);
-    sum += part.millionths;
+    CHECK(part.range.Length() > 0);
+    sum += part.range.Length();
+    for (const QuotaPart& other : parts) {
+      CHECK((other.vm == part.vm || !other.range.Holds(part.range.begin)));
+    }
   }
   CHECK(sum == kWholeQuota);
 }
@@ -85,9 +90,13 @@
   };
   const Case cases[] = {
     { "one joins four",
-      { { "a", 250000 }, { "b", 250000 }, { "c", 250000 }, { "d", 250000 }, { "e", 0 } } },
-    { "alone", { { "a", kWholeQuota } } },
-    { "not listed", { { "b", kWholeQuota }, { "c", 0 } } },
+      { { "a", { 0, 250000 } },
+        { "b", { 250000, 500000 } },
+        { "c", { 500000, 750000 } },
+        { "d", { 750000, 1000000 } },
+        { "e", {} } } },
+    { "alone", { { "a", kWhole } } },
+    { "not listed", { { "b", kWhole }, { "c", {} } } },
   };
   for (const Case& entry : cases) {
     CAPTURE(entry.name);
@@ -95,6 +104,24 @@
   }
 }
 
+// A fixed part of the slack for each VM went over the whole of it with 25 VMs or more.
+TEST_CASE("What all VMs keep for repeats stays within the fleet's slack")
+{
+  struct Case
+  {
+    double slack;
+    std::size_t vms;
+  };
+  const Case cases[] = {
+    { 60, 1 }, { 60, 10 }, { 62, 25 }, { 164, 62 }, { 220, 90 }, { 300, 300 }
+  };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.slack, entry.vms);
+    CHECK(RetryStock(entry.slack, entry.vms) * static_cast<double>(entry.vms) <= entry.slack);
+    CHECK(RetryStock(entry.slack, entry.vms) >= 1.0);
+  }
+}
+
 TEST_CASE("Repeats stay below their part of the first sends")
 {
   RetryAllowance allowance(0.2, 2);
--- a/test/policy/placing/placement_test.cc
+++ b/test/policy/placing/placement_test.cc
@@ -1,5 +1,7 @@
 #include "policy/placing/placing_support.h"
 
+#include "plantainhaven/policy/placing/rendezvous.h"
+
 #include <catch2/catch.hpp>
 #include <map>
 #include <set>
@@ -50,6 +52,32 @@
   CHECK(used.size() == 10);
 }
 
+// With 30 VMs in a region each VM sees a server's load every few seconds; without the
+// others' reports it sent to full servers.
+TEST_CASE("A server that other VMs have seen full gets nothing until the report fades")
+{
+  Placement placement("vm-1", "north");
+  placement.SetServers({ MakeServer("only") }, At(milliseconds(0)));
+  const BootTime now = At(milliseconds(1000));
+  CHECK(ChosenId(placement, 1, now) == "only");
+  placement.OnPeerLoad(StableHash("only"), 9, now);
+  CHECK(ChosenId(placement, 1, now).empty());
+  CHECK(ChosenId(placement, 1, now + milliseconds(100)).empty());
+  CHECK(ChosenId(placement, 1, now + std::chrono::seconds(2)) == "only");
+
+  SECTION("a newer own report goes first")
+  {
+    placement.OnLoad("only", { 0, 0, 3 }, now + milliseconds(100));
+    placement.OnPeerLoad(StableHash("only"), 9, now + milliseconds(150));
+    CHECK(ChosenId(placement, 1, now + milliseconds(150)) == "only");
+  }
+  SECTION("reports of unknown servers are passed over")
+  {
+    placement.OnPeerLoad(StableHash("other"), 9, now + std::chrono::seconds(2));
+    CHECK(ChosenId(placement, 1, now + std::chrono::seconds(2)) == "only");
+  }
+}
+
 TEST_CASE("A server that leaves moves only its own objects")
 {
   Placement placement("vm-1", "north");
--- a/test/policy/placing/token_bank_test.cc
+++ b/test/policy/placing/token_bank_test.cc
@@ -14,6 +14,15 @@
 constexpr double kRate = 100;
 constexpr double kBurst = 100;
 
+// The range of one of `aCount` VMs that share the ring alike.
+QuotaRange
+RangeOf(std::size_t aVm, std::size_t aCount)
+{
+  const auto width = kWholeQuota / static_cast<std::uint32_t>(aCount);
+  const auto begin = width * static_cast<std::uint32_t>(aVm);
+  return { begin, begin + width };
+}
+
 struct Message
 {
   BootTime arrivesAt{};
@@ -33,7 +42,7 @@
     : random(aSeed)
   {
     for (std::size_t i = 0; i < kVms; ++i) {
-      this->banks.push_back(this->Start(At(milliseconds(0))));
+      this->banks.push_back(this->Start(i, At(milliseconds(0))));
     }
   }
 
@@ -44,7 +53,8 @@
       const BootTime now = At(milliseconds(tick));
       this->Deliver(now);
       if (aWithKills && this->random() % 700 == 0) {
-        this->banks[this->random() % kVms] = this->Start(now);
+        const std::size_t killed = this->random() % kVms;
+        this->banks[killed] = this->Start(killed, now);
       }
       // Several times the rate, most of it at one VM.
       for (int i = 0; i < 3; ++i) {
@@ -76,11 +86,11 @@
 private:
   static constexpr std::size_t kVms = 5;
 
-  std::unique_ptr<TokenBank> Start(BootTime aNow)
+  std::unique_ptr<TokenBank> Start(std::size_t aVm, BootTime aNow)
   {
     auto bank = std::make_unique<TokenBank>(aNow);
     bank->SetLimits({ { "a", kRate, kBurst } }, aNow);
-    bank->SetPart(1.0 / kVms, aNow);
+    bank->SetRange(RangeOf(aVm, kVms), aNow);
     return bank;
   }
 
@@ -148,6 +158,39 @@
   CHECK(static_cast<double>(fleet.Taken()) > 0.6 * 8 * kRate);
 }
 
+// With 90 VMs and a burst of 40, equal fractions left no VM a whole token, so that nearly
+// every request was refused although the rate was far from used.
+TEST_CASE("Few VMs hold whole tokens of a small account, whatever the number of VMs")
+{
+  constexpr std::size_t kManyVms = 90;
+  struct Case
+  {
+    double rate;
+    double burst;
+    std::size_t leastHolders;
+  };
+  const Case cases[] = { { 40, 40, 4 }, { 8, 8, 4 }, { 3, 3, 1 }, { 400, 400, 40 } };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.rate, entry.burst);
+    std::size_t holders = 0;
+    double lent = 0;
+    for (std::size_t vm = 0; vm < kManyVms; ++vm) {
+      TokenBank bank(At(milliseconds(0)));
+      bank.SetLimits({ { "small", entry.rate, entry.burst } }, At(milliseconds(0)));
+      bank.SetRange(RangeOf(vm, kManyVms), At(milliseconds(0)));
+      double own = 0;
+      for (int i = 0; i < 100; ++i) {
+        own += bank.Lend("small", 1, At(std::chrono::seconds(10)));
+      }
+      holders += own > 0 ? 1 : 0;
+      lent += own;
+    }
+    CHECK(holders >= entry.leastHolders);
+    CHECK(lent <= entry.burst);
+    CHECK(lent >= 0.5 * entry.burst);
+  }
+}
+
 TEST_CASE("Accounts without a limit always get a token")
 {
   struct Case
@@ -167,8 +210,8 @@
 TEST_CASE("A refusal names the time in which a token is earned")
 {
   TokenBank bank(At(milliseconds(0)));
-  bank.SetLimits({ { "a", 10, 10 } }, At(milliseconds(0)));
-  bank.SetPart(0.5, At(milliseconds(0)));
+  bank.SetLimits({ { "a", 5, 10 } }, At(milliseconds(0)));
+  bank.SetRange({ 0, kWholeQuota }, At(milliseconds(0)));
   const TokenTake take = bank.TryTake("a", At(milliseconds(0)));
   CHECK_FALSE(take.taken);
   CHECK(take.retryAfter == milliseconds(200));
