Write the log on a thread of its own, bounded and sampled

Cause: each line was written by the thread that served the request, and a flood of refusals wrote a line each; a reader that stands still would have held requests.

Now lines go through a queue of 2,048 to a writer thread; what doesn't fit is dropped and counted in `dropped`. Of one kind of event 40 lines a second are written; the next line's `left_out` counts the others, and what no line told is written when the process ends.

--- a/include/plantainhaven/common/log.h
+++ b/include/plantainhaven/common/log.h
@@ -32,12 +32,19 @@
   std::string value;
 };
 
-// Sends log lines of this process to standard error through Boost.Log. `aLevel` is
-// "debug", "info", "warning" or "error"; another word is taken as "info". Call once.
+// Sends log lines of this process to standard error through Boost.Log, on a thread of their
+// own: a reader that stands still holds nobody, lines that don't fit are dropped and counted
+// in `dropped` of the next line. `aLevel` is "debug", "info", "warning" or "error"; another
+// word is taken as "info". Call once.
 void
 StartLog(std::string_view aProgram, std::string_view aLevel);
 
-// Writes one line: time, level, program, event=..., then the fields in order.
+// Writes what still waits and ends the log; called at the end of the process too.
+void
+StopLog();
+
+// Writes one line: time, level, program, event=..., then the fields in order. Of one event
+// at most 40 lines a second are written; `left_out` of the next one counts the others.
 void
 Log(LogLevel aLevel, std::string_view aEvent, std::initializer_list<LogField> aFields = {});
 
--- a/src/common/log.cc
+++ b/src/common/log.cc
@@ -1,6 +1,10 @@
 #include "plantainhaven/common/log.h"
 
+#include "plantainhaven/common/log_sampler.h"
+#include "plantainhaven/common/time.h"
+
 #include <array>
+#include <atomic>
 #include <cstdio>
 #include <ctime>
 #include <iostream>
@@ -9,7 +13,8 @@
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
@@ -21,7 +26,30 @@
 
 namespace log = boost::log;
 using Backend = log::sinks::text_ostream_backend;
-using Sink = log::sinks::synchronous_sink<Backend>;
+
+// Lines that wait for the writer; about half a megabyte when full.
+constexpr std::size_t kQueuedLines = 2048;
+// Lines of one kind a second.
+constexpr std::uint32_t kLinesPerSecond = 40;
+
+std::atomic<std::uint64_t> gDropped{ 0 };
+
+// Leaves a line out when the queue is full, so that a reader of the log that stands still
+// never holds a request.
+struct CountDropped
+{
+  template<typename Lock>
+  static bool on_overflow(const log::record_view&, Lock&)
+  {
+    ++gDropped;
+    return false;
+  }
+  static void on_queue_space_available() {}
+  static void interrupt() {}
+};
+
+using Queue = log::sinks::bounded_fifo_queue<kQueuedLines, CountDropped>;
+using Sink = log::sinks::asynchronous_sink<Backend, Queue>;
 using Source = log::sources::severity_logger_mt<LogLevel>;
 
 constexpr std::array kLevelNames = { "debug", "info", "warning", "error" };
@@ -40,6 +68,36 @@
   return sSettings;
 }
 
+// The sink of this process while the log is open.
+boost::shared_ptr<Sink>&
+SharedSink()
+{
+  static boost::shared_ptr<Sink> sSink;
+  return sSink;
+}
+
+// The sampler of this process with the lock that goes with it.
+struct SharedSampler
+{
+  std::mutex mutex;
+  LogSampler sampler{ kLinesPerSecond };
+};
+
+SharedSampler&
+Sampler()
+{
+  static SharedSampler sSampler;
+  return sSampler;
+}
+
+LogSampler::Verdict
+Judge(std::string_view aEvent)
+{
+  SharedSampler& shared = Sampler();
+  const std::lock_guard<std::mutex> lock(shared.mutex);
+  return shared.sampler.Judge(aEvent, BootClock::Now());
+}
+
 Source&
 SharedSource()
 {
@@ -116,6 +174,20 @@
   }
 }
 
+std::string
+Line(LogLevel aLevel, std::string_view aEvent, std::initializer_list<LogField> aFields)
+{
+  std::string line;
+  AppendField(line, "time", UtcNow());
+  AppendField(line, "level", kLevelNames[static_cast<std::size_t>(aLevel)]);
+  AppendField(line, "program", CurrentSettings().program);
+  AppendField(line, "event", aEvent);
+  for (const LogField& field : aFields) {
+    AppendField(line, field.key, field.value);
+  }
+  return line;
+}
+
 void
 AddSink()
 {
@@ -125,6 +197,9 @@
   auto sink = boost::make_shared<Sink>(backend);
   sink->set_formatter(log::expressions::stream << log::expressions::smessage);
   log::core::get()->add_sink(sink);
+  SharedSink() = sink;
+  // The writer must end before the libraries that it uses.
+  std::atexit(StopLog);
 }
 
 } // namespace
@@ -156,6 +231,24 @@
   std::call_once(sOnce, AddSink);
 }
 
+void
+StopLog()
+{
+  boost::shared_ptr<Sink>& sink = SharedSink();
+  if (sink == nullptr) {
+    return;
+  }
+  for (const auto& [event, count] : Sampler().sampler.TakeCounts()) {
+    const std::string text = std::to_string(count);
+    BOOST_LOG_SEV(SharedSource(), LogLevel::kInfo)
+      << Line(LogLevel::kInfo, "log_left_out", { { "of", event }, { "left_out", text } });
+  }
+  log::core::get()->remove_sink(sink);
+  sink->stop();
+  sink->flush();
+  sink.reset();
+}
+
 void
 Log(LogLevel aLevel, std::string_view aEvent, std::initializer_list<LogField> aFields)
 {
@@ -163,13 +256,16 @@
   if (aLevel < settings.least) {
     return;
   }
-  std::string line;
-  AppendField(line, "time", UtcNow());
-  AppendField(line, "level", kLevelNames[static_cast<std::size_t>(aLevel)]);
-  AppendField(line, "program", settings.program);
-  AppendField(line, "event", aEvent);
-  for (const LogField& field : aFields) {
-    AppendField(line, field.key, field.value);
+  const LogSampler::Verdict verdict = Judge(aEvent);
+  if (!verdict.isWritten) {
+    return;
+  }
+  std::string line = Line(aLevel, aEvent, aFields);
+  if (verdict.leftOut > 0) {
+    AppendField(line, "left_out", std::to_string(verdict.leftOut));
+  }
+  if (const std::uint64_t dropped = gDropped.exchange(0); dropped > 0) {
+    AppendField(line, "dropped", std::to_string(dropped));
   }
   BOOST_LOG_SEV(SharedSource(), aLevel) << line;
 }
