--- /dev/null
+++ b/test/standin/store_contract_test.cc
@@ -0,0 +1,360 @@
+#include "plantainhaven/standin/store_rows.h"
+#include "plantainhaven/standin/store_standin.h"
+
+#include "edge/context.h"
+#include "edge/net.h"
+#include "platform/store_client.h"
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace plantainhaven::standin {
+namespace {
+
+using platform::ConditionalPut;
+using platform::StoreClient;
+using platform::StoreRow;
+using platform::TableChanges;
+using platform::TableRead;
+using std::chrono::milliseconds;
+
+constexpr const char* kTable = "fleet";
+constexpr milliseconds kTimeout{ 200 };
+
+// Whatever keeps rows by the published protocol.
+class Subject
+{
+public:
+  virtual ~Subject() = default;
+  virtual Result<std::uint64_t> Write(const std::vector<ConditionalPut>& aPuts) = 0;
+  virtual Result<TableRead> Read() = 0;
+  virtual Result<TableChanges> Changes(std::uint64_t aAfter) = 0;
+  virtual void Remove(const std::string& aKey) = 0;
+  virtual void ForgetHistory() = 0;
+};
+
+StoreRow
+ToRow(const StoredRow& aRow)
+{
+  return { aRow.place.key, aRow.value, aRow.version, aRow.isRemoved };
+}
+
+// The rows themselves, without a connection.
+class InProcess : public Subject
+{
+public:
+  Result<std::uint64_t> Write(const std::vector<ConditionalPut>& aPuts) override
+  {
+    RowTransaction transaction;
+    for (const ConditionalPut& put : aPuts) {
+      transaction.conditions.push_back({ { kTable, "", put.key }, put.expectedVersion });
+      transaction.puts.push_back({ { kTable, "", put.key }, put.value, 0, false });
+    }
+    const CommitAnswer answer = this->rows.Commit(transaction);
+    if (std::holds_alternative<Conflicted>(answer)) {
+      return Error{ .kind = ErrorKind::kConflict, .message = "conflict", .remedy = "" };
+    }
+    if (std::holds_alternative<Malformed>(answer)) {
+      return Error{ .kind = ErrorKind::kInvalid, .message = "malformed", .remedy = "" };
+    }
+    return std::get<Committed>(answer).version;
+  }
+  Result<TableRead> Read() override
+  {
+    TableRead read;
+    read.version = this->rows.Version();
+    std::string from;
+    RowPage page;
+    do {
+      page = this->rows.Read(kTable, "", from, "", 0);
+      for (const StoredRow& row : page.rows) {
+        read.rows.push_back(ToRow(row));
+        from = row.place.key + '\0';
+      }
+    } while (page.hasMore);
+    return read;
+  }
+  Result<TableChanges> Changes(std::uint64_t aAfter) override
+  {
+    TableChanges changes;
+    const auto found = this->rows.ChangesAfter(kTable, aAfter);
+    changes.isHistoryGone = !found;
+    changes.version = found ? this->rows.Version() : 0;
+    for (const StoredRow& row : found.value_or(std::vector<StoredRow>())) {
+      changes.rows.push_back(ToRow(row));
+    }
+    return changes;
+  }
+  void Remove(const std::string& aKey) override
+  {
+    this->rows.Commit({ {}, {}, { { kTable, "", aKey } } });
+  }
+  void ForgetHistory() override { this->rows.ForgetHistory(); }
+
+private:
+  StoreRows rows;
+};
+
+// The client that the daemon uses, against the stand-in.
+class OverHttp : public Subject
+{
+public:
+  OverHttp()
+    : store(this->context, "127.0.0.1", 0)
+    , client(this->context, this->store.Address(), kTimeout, [this] { ++this->calls; })
+  {
+  }
+  ~OverHttp() override { this->context.End(); }
+
+  Result<std::uint64_t> Write(const std::vector<ConditionalPut>& aPuts) override
+  {
+    return this->Wait<std::uint64_t>(this->client.Write(kTable, aPuts));
+  }
+  Result<TableRead> Read() override
+  {
+    return this->Wait<TableRead>(this->client.ReadTable(kTable));
+  }
+  Result<TableChanges> Changes(std::uint64_t aAfter) override
+  {
+    return this->Wait<TableChanges>(this->client.ReadChanges(kTable, aAfter, milliseconds(20)));
+  }
+  void Remove(const std::string& aKey) override { this->store.Remove(kTable, aKey); }
+  void ForgetHistory() override { this->store.ForgetHistory(); }
+
+  StoreStandin& Store() { return this->store; }
+  int Calls() const { return this->calls; }
+  // Lets the store go on by itself.
+  void RunFor(milliseconds aTime)
+  {
+    this->context.restart();
+    this->context.run_for(aTime);
+  }
+
+private:
+  template<typename Value>
+  Result<Value> Wait(edge::Task<Result<Value>> aTask)
+  {
+    std::optional<Result<Value>> result;
+    edge::asio::co_spawn(
+      this->context,
+      [](edge::Task<Result<Value>> aInner, std::optional<Result<Value>>& aInto)
+        -> edge::Task<void> { aInto = co_await std::move(aInner); }(std::move(aTask), result),
+      edge::asio::detached);
+    this->context.restart();
+    while (!result && this->context.run_one_for(std::chrono::seconds(5)) > 0) {
+    }
+    REQUIRE(result);
+    return *result;
+  }
+
+  edge::Context context;
+  int calls = 0;
+  StoreStandin store;
+  StoreClient client;
+};
+
+std::vector<std::unique_ptr<Subject>>
+Subjects()
+{
+  std::vector<std::unique_ptr<Subject>> subjects;
+  subjects.push_back(std::make_unique<InProcess>());
+  subjects.push_back(std::make_unique<OverHttp>());
+  return subjects;
+}
+
+TEST_CASE("A write holds its conditions or does nothing")
+{
+  for (const auto& subject : Subjects()) {
+    const auto first = subject->Write({ { "a", "1", 0 }, { "b", "2", 0 } });
+    REQUIRE(IsOk(first));
+    const std::uint64_t version = ValueOf(first);
+    struct Case
+    {
+      std::string name;
+      std::vector<ConditionalPut> puts;
+      bool isDone;
+    };
+    const Case cases[] = {
+      { "row exists already", { { "a", "x", 0 } }, false },
+      { "another version", { { "a", "x", version + 7 } }, false },
+      { "one of two conditions fails", { { "a", "x", version }, { "b", "x", 0 } }, false },
+      { "all conditions hold", { { "a", "x", version }, { "b", "y", version } }, true },
+      { "the version of before", { { "a", "z", version } }, false },
+    };
+    for (const Case& entry : cases) {
+      CAPTURE(entry.name);
+      const auto written = subject->Write(entry.puts);
+      CHECK(IsOk(written) == entry.isDone);
+      if (!IsOk(written)) {
+        CHECK(ErrorOf(written).kind == ErrorKind::kConflict);
+      }
+    }
+    const auto read = subject->Read();
+    REQUIRE(IsOk(read));
+    REQUIRE(ValueOf(read).rows.size() == 2);
+    CHECK(ValueOf(read).rows[0].value == "x");
+    CHECK(ValueOf(read).rows[1].value == "y");
+  }
+}
+
+TEST_CASE("Values keep every byte")
+{
+  std::string bytes;
+  for (int i = 0; i < 256; ++i) {
+    bytes += static_cast<char>(i);
+  }
+  for (const auto& subject : Subjects()) {
+    for (const std::string& value : { std::string(), std::string("a"), bytes, bytes + "x" }) {
+      const auto before = subject->Read();
+      const std::uint64_t version =
+        ValueOf(before).rows.empty() ? 0 : ValueOf(before).rows.front().version;
+      REQUIRE(IsOk(subject->Write({ { "key %/+ ", value, version } })));
+      const auto read = subject->Read();
+      REQUIRE(ValueOf(read).rows.size() == 1);
+      CHECK(ValueOf(read).rows.front().value == value);
+      CHECK(ValueOf(read).rows.front().key == "key %/+ ");
+    }
+  }
+}
+
+TEST_CASE("A table of many pages is read whole and in order")
+{
+  for (const auto& subject : Subjects()) {
+    for (int write = 0; write < 24; ++write) {
+      std::vector<ConditionalPut> puts;
+      for (int i = 0; i < 50; ++i) {
+        puts.push_back({ "row-" + std::to_string(100000 + write * 50 + i), "v", 0 });
+      }
+      REQUIRE(IsOk(subject->Write(puts)));
+    }
+    const auto read = subject->Read();
+    REQUIRE(IsOk(read));
+    const auto& rows = ValueOf(read).rows;
+    REQUIRE(rows.size() == 1200);
+    CHECK(std::is_sorted(rows.begin(), rows.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.key < aRight.key;
+    }));
+  }
+}
+
+TEST_CASE("Changes follow a version, each row as it is now")
+{
+  for (const auto& subject : Subjects()) {
+    const std::uint64_t start = ValueOf(subject->Write({ { "a", "1", 0 }, { "b", "1", 0 } }));
+    const std::uint64_t next = ValueOf(subject->Write({ { "a", "2", start } }));
+    subject->Write({ { "a", "3", next } });
+    subject->Remove("b");
+    const auto changes = subject->Changes(start);
+    REQUIRE(IsOk(changes));
+    CHECK_FALSE(ValueOf(changes).isHistoryGone);
+    REQUIRE(ValueOf(changes).rows.size() == 2);
+    CHECK(ValueOf(changes).rows[0].key == "a");
+    CHECK(ValueOf(changes).rows[0].value == "3");
+    CHECK(ValueOf(changes).rows[1].key == "b");
+    CHECK(ValueOf(changes).rows[1].isRemoved);
+    const auto none = subject->Changes(ValueOf(changes).version);
+    CHECK(ValueOf(none).rows.empty());
+    CHECK(ValueOf(none).version == ValueOf(changes).version);
+  }
+}
+
+TEST_CASE("Changes of a discarded history are told as gone")
+{
+  for (const auto& subject : Subjects()) {
+    const std::uint64_t start = ValueOf(subject->Write({ { "a", "1", 0 } }));
+    const std::uint64_t newest = ValueOf(subject->Write({ { "a", "2", start } }));
+    subject->ForgetHistory();
+    CHECK(ValueOf(subject->Changes(start)).isHistoryGone);
+    CHECK_FALSE(ValueOf(subject->Changes(newest)).isHistoryGone);
+  }
+}
+
+TEST_CASE("A write that is too large does nothing")
+{
+  for (const auto& subject : Subjects()) {
+    std::vector<ConditionalPut> puts;
+    for (int i = 0; i < 51; ++i) {
+      puts.push_back({ "row-" + std::to_string(i), "v", 0 });
+    }
+    const auto written = subject->Write(puts);
+    REQUIRE_FALSE(IsOk(written));
+    CHECK(ErrorOf(written).kind == ErrorKind::kInvalid);
+    CHECK(ValueOf(subject->Read()).rows.empty());
+  }
+}
+
+// What each trouble of the store makes of a write, and whether the rows have it in the end.
+TEST_CASE("A write under trouble says truly what may have been done")
+{
+  struct Case
+  {
+    std::string name;
+    StoreFaults faults;
+    ErrorKind expected;
+    bool isDoneInTheEnd;
+  };
+  const auto away = [](StoreAway aAway) {
+    StoreFaults faults;
+    faults.away = aAway;
+    return faults;
+  };
+  StoreFaults lost;
+  lost.loseEvery = 1;
+  StoreFaults late;
+  late.lateEvery = 1;
+  late.lateBy = milliseconds(100);
+  StoreFaults slow;
+  slow.delay = kTimeout + milliseconds(100);
+  StoreFaults others = away(StoreAway::kUnavailable);
+  others.callers = { "127.0.0.1" };
+  const Case cases[] = {
+    { "503", away(StoreAway::kUnavailable), ErrorKind::kUnavailable, false },
+    { "429", away(StoreAway::kTooMany), ErrorKind::kUnavailable, false },
+    { "this machine is turned away", others, ErrorKind::kUnavailable, false },
+    { "reset", away(StoreAway::kReset), ErrorKind::kUnknown, false },
+    { "silent", away(StoreAway::kSilent), ErrorKind::kUnknown, false },
+    { "answer lost", lost, ErrorKind::kUnknown, true },
+    { "done later", late, ErrorKind::kUnknown, true },
+    { "slower than the time-out", slow, ErrorKind::kUnknown, true },
+  };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.name);
+    OverHttp subject;
+    subject.Store().SetFaults(entry.faults);
+    const auto written = subject.Write({ { "a", "1", 0 } });
+    REQUIRE_FALSE(IsOk(written));
+    CHECK(ErrorOf(written).kind == entry.expected);
+    CHECK_FALSE(ErrorOf(written).remedy.empty());
+    subject.RunFor(milliseconds(250));
+    subject.Store().SetFaults({});
+    const auto read = subject.Read();
+    REQUIRE(IsOk(read));
+    CHECK(ValueOf(read).rows.size() == (entry.isDoneInTheEnd ? 1 : 0));
+    CHECK(subject.Calls() == 2);
+  }
+}
+
+TEST_CASE("Reading goes on once the store is back")
+{
+  for (const StoreAway away :
+       { StoreAway::kUnavailable, StoreAway::kTooMany, StoreAway::kReset, StoreAway::kSilent }) {
+    CAPTURE(static_cast<int>(away));
+    OverHttp subject;
+    subject.Write({ { "a", "1", 0 } });
+    StoreFaults faults;
+    faults.away = away;
+    subject.Store().SetFaults(faults);
+    CHECK_FALSE(IsOk(subject.Read()));
+    CHECK_FALSE(IsOk(subject.Changes(0)));
+    subject.Store().SetFaults({});
+    CHECK(ValueOf(subject.Read()).rows.size() == 1);
+    CHECK(ValueOf(subject.Changes(0)).rows.size() == 1);
+  }
+}
+
+} // namespace
+} // namespace plantainhaven::standin
