Harm running VMs at random and check what callers and servers see

plantain-soak starts plantain-edged processes between callers, backend servers and a store, and harms them from outside: kill, stop, pause, SIGHUP, a store that is away, slow or loses answers, links through a loopback proxy that are delayed, reset, cut one way or silenced, servers that crash, drain, shed, fail, garble or lose answers, configurations and evacuations, in series that overlap. It checks at-most-once, true refusals, whole answers, accounts, routes, limits, grace, lost requests and recovery.

--- /dev/null
+++ b/src/programs/plantain-soak/soak.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "callers.h"
+#include "fault_proxy.h"
+#include "ledger.h"
+#include "vm_process.h"
+
+#include "edge/context.h"
+#include "edge/net.h"
+#include "plantainhaven/standin/server_standin.h"
+#include "plantainhaven/standin/store_standin.h"
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace plantainhaven::soak {
+
+struct SoakOptions
+{
+  std::uint64_t seed = 1;
+  std::chrono::seconds length{ 30 };
+  int vms = 4;
+  int servers = 6;
+  int callers = 24;
+  // Path of plantain-edged.
+  std::string program;
+  // Folder for settings and logs.
+  std::string folder;
+};
+
+// Runs plantain-edged processes between callers, backend servers and a store, harms them from
+// outside at random, and checks what callers and servers see.
+class Soak
+{
+public:
+  explicit Soak(SoakOptions aOptions);
+
+  // Returns one line for each broken promise.
+  std::vector<std::string> Run();
+  std::string Summary() const { return this->ledger.Summary(); }
+
+private:
+  struct Vm
+  {
+    std::unique_ptr<FaultProxy> storeLink;
+    std::unique_ptr<VmProcess> process;
+    // When the process is to be started anew; zero while it should run.
+    BootTime startAt{};
+    // When a process that was asked to stop is killed; zero if it wasn't.
+    BootTime killAt{};
+  };
+  struct Server
+  {
+    std::unique_ptr<standin::ServerStandin> standin;
+    std::unique_ptr<FaultProxy> link;
+    std::string service;
+    std::string domain;
+    bool isDraining = false;
+    // When it ends, after it has said that it leaves.
+    BootTime endAt{};
+  };
+  struct Move
+  {
+    const char* name;
+    void (Soak::*run)();
+  };
+
+  void AddVm(int aNumber);
+  Server MakeServer(const std::string& aService, const std::string& aDomain);
+  void ReportServer(Server& aServer);
+  void WriteConfiguration();
+  edge::Task<void> RunServers();
+  edge::Task<void> RunVms();
+  edge::Task<void> RunMoves();
+  void Watch(Vm& aVm);
+  void EndFaults();
+  // Runs something once after a time.
+  void After(std::chrono::milliseconds aTime, std::function<void()> aAction);
+  std::chrono::milliseconds Between(int aLeast, int aMost);
+  Vm& AnyVm() { return this->vms[this->random() % this->vms.size()]; }
+  Server& AnyServer() { return this->servers[this->random() % this->servers.size()]; }
+  void Note(const std::string& aWhat);
+
+  void KillVm();
+  void StopVm();
+  void PauseVm();
+  void ReloadVm();
+  void HarmStore();
+  void LoseStoreAnswers();
+  void ForgetHistory();
+  void CutStoreLink();
+  void HarmServer();
+  void HarmServerLink();
+  void CrashServer();
+  void DrainServer();
+  void ChangeConfiguration();
+  void Evacuate();
+
+  SoakOptions options;
+  std::mt19937_64 random;
+  edge::Context context;
+  BootTime startedAt;
+  Ledger ledger;
+  standin::StoreStandin store;
+  std::vector<Vm> vms;
+  std::vector<Server> servers;
+  std::unique_ptr<Callers> callers;
+  std::vector<std::string> broken;
+  int nextServer = 1;
+  int configuration = 0;
+  bool hasEnded = false;
+};
+
+} // namespace plantainhaven::soak
--- /dev/null
+++ b/src/programs/plantain-soak/vm_process.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include <sys/types.h>
+
+namespace plantainhaven::soak {
+
+// Where one VM listens.
+struct VmPorts
+{
+  std::uint16_t callers = 0;
+  std::uint16_t readiness = 0;
+  std::uint16_t lookups = 0;
+  std::uint16_t peers = 0;
+  std::uint16_t metrics = 0;
+};
+
+struct VmOptions
+{
+  std::string name;
+  std::string region;
+  std::string failureDomain;
+  // Path of plantain-edged.
+  std::string program;
+  // Folder for settings and log.
+  std::string folder;
+  std::uint16_t store = 0;
+  VmPorts ports;
+};
+
+// One plantain-edged as a process of its own. Signals go to that process only, by its id.
+class VmProcess
+{
+public:
+  explicit VmProcess(VmOptions aOptions);
+  // Kills the process if it still runs.
+  ~VmProcess();
+  VmProcess(const VmProcess&) = delete;
+  VmProcess& operator=(const VmProcess&) = delete;
+
+  // Throws std::system_error when the process can't be started.
+  void Start();
+  void Signal(int aSignal);
+  // True once the process has ended; its status is then in LastStatus().
+  bool HasEnded();
+  int LastStatus() const { return this->status; }
+  const VmOptions& Options() const { return this->options; }
+
+private:
+  void WriteSettings() const;
+
+  VmOptions options;
+  pid_t id = 0;
+  int status = 0;
+};
+
+// A port of the loopback interface that nobody listens on.
+std::uint16_t
+AnyFreePort();
+
+} // namespace plantainhaven::soak
