Keep the mix of regions near the plan while a region is full

A request whose region is full may now go to a region whose part of the recent sends lies below its part of the plan. While home is merely full the parts agree and it waits as before; in the tail the others lie below and take what waits.

Ruled out: larger steps of the split (the split wasn't what moved); refusing what waits.

--- a/src/policy/placing/placement.cc
+++ b/src/policy/placing/placement.cc
@@ -4,6 +4,7 @@
 #include "policy/placing/server_record.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -24,6 +25,14 @@
 constexpr double kColdUse = 0.8;
 // Weight of the newest response in a service's usual time; about twenty responses count.
 constexpr double kUsualTimeWeight = 0.05;
+// Time constant in which sends count for the mix of regions; half the window of the largest
+// shift.
+constexpr Seconds kMixTime{ 1.0 };
+// Sends below which the mix says nothing.
+constexpr double kLeastMix = 5.0;
+// A region takes what waits for another one while its part of the sends lies this far below
+// its part of the plan.
+constexpr double kMixSlack = 0.02;
 constexpr std::uint64_t kPositionSalt = 0x5bd1e9955bd1e995ULL;
 
 struct ServiceRecord
@@ -31,10 +40,33 @@
   std::vector<RegionShare> plan;
   double warmupRate = 0;
   double usualTime = 0;
+  // Sends by region, fading, as of `mixedAt`.
+  std::map<std::string, double> mix;
+  BootTime mixedAt{};
   // Servers that may be used but for what changes by itself with time, by region.
   std::map<std::string, std::vector<ServerRecord*>> byRegion;
 };
 
+void
+FadeMix(ServiceRecord& aService, BootTime aNow)
+{
+  const double passed = std::max(0.0, Seconds(aNow - aService.mixedAt) / kMixTime);
+  for (auto& [region, sends] : aService.mix) {
+    sends *= std::exp(-passed);
+  }
+  aService.mixedAt = aNow;
+}
+
+double
+MixOf(const ServiceRecord& aService)
+{
+  double sum = 0;
+  for (const auto& [region, sends] : aService.mix) {
+    sum += sends;
+  }
+  return sum;
+}
+
 // A server with its place in an object's order; the highest rank comes first.
 struct Ranked
 {
@@ -78,6 +110,10 @@
   std::vector<std::string> RegionOrder(const PlacingRequest& aRequest) const;
   // The servers of the region that may be used, ranked for the object, in `ranked`.
   void Rank(const PlacingRequest& aRequest, const std::string& aRegion, BootTime aNow);
+  // Where a request may go while its own region is full, so that the mix of regions stays
+  // near the plan: otherwise it changes at once when what waits for a full region is all
+  // that is left.
+  Placing ChooseBehindPlan(const PlacingRequest& aRequest, BootTime aNow);
   Placing ChooseRanked(const PlacingRequest& aRequest, BootTime aNow);
 
   std::string self;
@@ -267,6 +303,30 @@
   return { PlacingState::kBusy, nullptr };
 }
 
+Placing
+Placement::Impl::ChooseBehindPlan(const PlacingRequest& aRequest, BootTime aNow)
+{
+  const auto found = this->services.find(aRequest.service);
+  if (found == this->services.end()) {
+    return { PlacingState::kBusy, nullptr };
+  }
+  ServiceRecord& service = found->second;
+  FadeMix(service, aNow);
+  const double sum = MixOf(service);
+  for (const RegionShare& share : service.plan) {
+    const double part = sum < kLeastMix ? 1.0 : service.mix[share.region] / sum;
+    if (part > share.part - kMixSlack || !aRequest.allowed.Allows(share.region)) {
+      continue;
+    }
+    this->Rank(aRequest, share.region, aNow);
+    const Placing placing = this->ChooseRanked(aRequest, aNow);
+    if (placing.state == PlacingState::kSend) {
+      return placing;
+    }
+  }
+  return { PlacingState::kBusy, nullptr };
+}
+
 Placement::Placement(std::string aSelf, std::string aRegion)
   : impl(std::make_unique<Impl>())
 {
@@ -360,9 +420,12 @@
 {
   for (const std::string& name : this->impl->RegionOrder(aRequest)) {
     this->impl->Rank(aRequest, name, aNow);
-    if (!this->impl->ranked.empty()) {
-      return this->impl->ChooseRanked(aRequest, aNow);
+    if (this->impl->ranked.empty()) {
+      continue;
     }
+    const Placing placing = this->impl->ChooseRanked(aRequest, aNow);
+    return placing.state == PlacingState::kSend ? placing
+                                                : this->impl->ChooseBehindPlan(aRequest, aNow);
   }
   return {};
 }
@@ -372,6 +435,9 @@
 {
   if (ServerRecord* const record = this->impl->Find(aServer)) {
     record->OnSent(aNow);
+    ServiceRecord& service = this->impl->services[record->Entry().service];
+    FadeMix(service, aNow);
+    service.mix[record->Entry().region] += 1;
   }
 }
 
--- a/test/policy/placing/placement_test.cc
+++ b/test/policy/placing/placement_test.cc
@@ -52,6 +52,62 @@
   CHECK(used.size() == 10);
 }
 
+// After a burst, what waited for the full home region was all that was left: 44 in 100 of
+// the region's requests changed their region within two seconds.
+TEST_CASE("What waits for a full region keeps the mix of regions near the plan")
+{
+  Placement placement("vm-1", "north");
+  std::vector<BackendServer> servers;
+  for (int i = 0; i < 4; ++i) {
+    servers.push_back(MakeServer("n" + std::to_string(i), "north", "north-a"));
+    servers.push_back(MakeServer("s" + std::to_string(i), "south", "south-a"));
+  }
+  placement.SetServers(servers, At(milliseconds(0)));
+  placement.SetPlan("portal", { { "north", 0.25 }, { "south", 0.75 } });
+  const auto isNorth = [](const Placing& aPlacing) { return aPlacing.server->region == "north"; };
+  // Two seconds by the plan, then only requests whose objects belong to the north.
+  int north = 0;
+  int sent = 0;
+  std::vector<std::uint64_t> northern;
+  for (std::uint64_t object = 0; sent < 400; ++object) {
+    const BootTime now = At(milliseconds(5 * sent));
+    const Placing placing = placement.Choose(MakeRequest(object), now);
+    REQUIRE(placing.state == PlacingState::kSend);
+    if (isNorth(placing)) {
+      northern.push_back(object);
+    }
+    const std::string id = placing.server->id;
+    placement.OnSent(id, now);
+    placement.OnEnded(id, SendOutcome::kServed, milliseconds(5), now);
+    ++sent;
+  }
+  std::vector<std::string> held;
+  int waiting = 0;
+  for (int i = 0; i < 200; ++i) {
+    const BootTime now = At(milliseconds(2000 + 10 * i));
+    // Each third request ends; the others of the north keep their slots.
+    const Placing placing = placement.Choose(MakeRequest(northern[i % northern.size()]), now);
+    if (placing.state != PlacingState::kSend) {
+      ++waiting;
+      if (!held.empty()) {
+        placement.OnEnded(held.front(), SendOutcome::kServed, milliseconds(100), now);
+        held.erase(held.begin());
+      }
+      continue;
+    }
+    north += isNorth(placing) ? 1 : 0;
+    const std::string id = placing.server->id;
+    placement.OnSent(id, now);
+    if (isNorth(placing)) {
+      held.push_back(id);
+    } else {
+      placement.OnEnded(id, SendOutcome::kServed, milliseconds(5), now);
+    }
+  }
+  CAPTURE(north, waiting);
+  CHECK(north <= (0.25 + 0.15) * (200 - waiting));
+}
+
 // With 30 VMs in a region each VM sees a server's load every few seconds; without the
 // others' reports it sent to full servers.
 TEST_CASE("A server that other VMs have seen full gets nothing until the report fades")
