--- /dev/null
+++ b/src/edge/caller_response.cc
@@ -0,0 +1,122 @@
+#include "edge/caller_response.h"
+
+#include "edge/forwarding.h"
+#include "platform/names.h"
+
+#include <utility>
+
+namespace plantainhaven::edge {
+namespace {
+
+// A caller that takes no bytes for this long is given up.
+constexpr std::chrono::seconds kCallerStall{ 20 };
+
+template<typename Message>
+void
+CopyFields(const http::fields& aFrom, Message& aTo)
+{
+  for (const auto& field : aFrom) {
+    if (!IsOfConnection(aFrom, field.name_string())) {
+      aTo.insert(field.name_string(), field.value());
+    }
+  }
+}
+
+} // namespace
+
+Task<bool>
+CallerResponse::PassOn(Exchange& aExchange)
+{
+  if (aExchange.IsWhole()) {
+    co_return co_await this->PassOnWhole(aExchange);
+  }
+  co_return co_await this->PassOnStream(aExchange);
+}
+
+Task<bool>
+CallerResponse::PassOnWhole(Exchange& aExchange)
+{
+  http::response<http::string_body> response;
+  response.result(aExchange.Status());
+  response.version(this->form.version);
+  CopyFields(aExchange.Head(), response);
+  response.keep_alive(this->form.keepsAlive);
+  if (!this->form.isHead) {
+    response.body() = std::move(aExchange.Body());
+    response.content_length(response.body().size());
+  }
+  http::response_serializer<http::string_body> serializer(response);
+  serializer.split(this->form.isHead);
+  beast::error_code fault;
+  this->caller.expires_after(kCallerStall);
+  if (this->form.isHead) {
+    co_await http::async_write_header(this->caller, serializer, Into(fault));
+  } else {
+    co_await http::async_write(this->caller, serializer, Into(fault));
+  }
+  co_return !fault;
+}
+
+Task<bool>
+CallerResponse::PassOnStream(Exchange& aExchange)
+{
+  http::response<http::buffer_body> response;
+  response.result(aExchange.Status());
+  response.version(this->form.version);
+  CopyFields(aExchange.Head(), response);
+  response.keep_alive(this->form.keepsAlive);
+  const auto length = aExchange.ContentLength();
+  if (length) {
+    response.content_length(*length);
+  } else {
+    response.chunked(true);
+  }
+  http::response_serializer<http::buffer_body> serializer(response);
+  beast::error_code fault;
+  this->caller.expires_after(kCallerStall);
+  co_await http::async_write_header(this->caller, serializer, Into(fault));
+  std::string part = std::move(aExchange.Body());
+  while (!fault) {
+    const bool isLast = part.empty();
+    if (isLast && !aExchange.IsWhole()) {
+      // The response broke off: closing the connection short is what tells the caller.
+      co_return false;
+    }
+    response.body().data = isLast ? nullptr : part.data();
+    response.body().size = part.size();
+    response.body().more = !isLast;
+    this->caller.expires_after(kCallerStall);
+    co_await http::async_write(this->caller, serializer, Into(fault));
+    if (fault == http::error::need_buffer) {
+      fault = {};
+    }
+    if (isLast) {
+      break;
+    }
+    part = co_await aExchange.ReadMore();
+  }
+  co_return !fault;
+}
+
+Task<bool>
+CallerResponse::Refuse(const Refusal& aRefusal, std::string_view aRequestId)
+{
+  http::response<http::string_body> response;
+  response.result(aRefusal.status);
+  response.version(this->form.version);
+  if (!aRequestId.empty()) {
+    response.set(platform::kRequestIdHeader, { aRequestId.data(), aRequestId.size() });
+  }
+  if (aRefusal.retryAfter.count() > 0) {
+    response.set(http::field::retry_after, SecondsText(aRefusal.retryAfter));
+  }
+  response.keep_alive(this->form.keepsAlive);
+  response.body() = aRefusal.reason + "\n";
+  response.prepare_payload();
+  beast::error_code fault;
+  this->caller.expires_after(kCallerStall);
+  co_await http::async_write(this->caller, response, Into(fault));
+  co_return !fault;
+}
+
+} // namespace plantainhaven::edge
--- a/src/edge/caller_session.cc
+++ b/src/edge/caller_session.cc
@@ -8,11 +8,9 @@
 namespace {
 
 // A keep-alive probe every few seconds finds callers that vanished without a close.
-constexpr int kProbeAfterSeconds = 5;
+constexpr std::chrono::seconds kProbeAfter{ 5 };
 constexpr int kProbes = 2;
 
-using Parser = http::request_parser<http::string_body>;
-
 void
 PrepareSocket(Tcp::socket& aSocket)
 {
@@ -20,8 +18,9 @@
   aSocket.set_option(Tcp::no_delay(true), ignored);
   aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
   const int handle = aSocket.native_handle();
-  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeAfterSeconds, sizeof(kProbeAfterSeconds));
-  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeAfterSeconds, sizeof(kProbeAfterSeconds));
+  const int seconds = static_cast<int>(kProbeAfter.count());
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof(seconds));
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof(seconds));
   ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(kProbes));
 }
 
@@ -50,16 +49,63 @@
 }
 
 Task<void>
-RejectAndDrain(TrafficState& aState,
-               beast::tcp_stream& aStream,
-               CallerRequest& aRequest,
-               unsigned aStatus)
+Reject(TrafficState& aState,
+       beast::tcp_stream& aStream,
+       CallerRequest& aRequest,
+       CallerBody& aBody,
+       unsigned aStatus)
 {
   CallerWatch watch(aStream.socket());
-  RequestRun run(aState, aStream, watch, aRequest);
+  RequestRun run(aState, aStream, watch, aRequest, aBody);
   co_await run.Reject(aStatus, "unusable_request");
+}
+
+// A caller that asks first whether it may send its body is told to.
+Task<void>
+AnswerExpectation(beast::tcp_stream& aStream, const CallerRequest& aRequest)
+{
+  if (!beast::iequals(aRequest[http::field::expect], "100-continue")) {
+    co_return;
+  }
+  const http::response<http::empty_body> go(http::status::continue_, aRequest.version());
   beast::error_code ignored;
-  aStream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+  co_await http::async_write(aStream, go, Into(ignored));
+}
+
+// One request; false when the connection is to end.
+Task<bool>
+ServeRequest(TrafficState& aState, beast::tcp_stream& aStream, beast::flat_buffer& aBuffer)
+{
+  const CallerLimits limits = LimitsOf(aState);
+  CallerParser parser;
+  parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
+  parser.body_limit(limits.maxBodyBytes);
+  beast::error_code fault;
+  aStream.expires_after(limits.idleTimeout + limits.headerTimeout);
+  co_await http::async_read_header(aStream, aBuffer, parser, Into(fault));
+  CallerBody body(aStream, aBuffer, parser, limits.idleTimeout);
+  if (!fault) {
+    co_await AnswerExpectation(aStream, parser.get());
+    co_await body.ReadFirst();
+    fault = body.Fault();
+  }
+  bool isOpen = false;
+  aStream.expires_never();
+  if (!fault) {
+    CallerWatch watch(aStream.socket());
+    RequestRun run(aState, aStream, watch, parser.get(), body);
+    isOpen = co_await run.Run();
+  } else if (const unsigned status = StatusOf(fault); status != 0) {
+    co_await Reject(aState, aStream, parser.get(), body, status);
+  }
+  if (!isOpen) {
+    beast::error_code ignored;
+    aStream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+  }
+  if (!isOpen && parser.is_header_done() && !parser.is_done()) {
+    co_await body.Drain();
+  }
+  co_return isOpen;
 }
 
 } // namespace
@@ -72,32 +118,8 @@
   beast::flat_buffer buffer;
   bool isOpen = true;
   while (isOpen) {
-    const CallerLimits limits = LimitsOf(aState);
-    Parser parser;
-    parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
-    parser.body_limit(limits.maxBodyBytes);
-    beast::error_code fault;
-    stream.expires_after(limits.idleTimeout + limits.headerTimeout);
-    co_await http::async_read_header(stream, buffer, parser, Into(fault));
-    if (!fault) {
-      stream.expires_after(limits.idleTimeout);
-      co_await http::async_read(stream, buffer, parser, Into(fault));
-    }
-    if (fault) {
-      const unsigned status = StatusOf(fault);
-      if (status != 0) {
-        co_await RejectAndDrain(aState, stream, parser.get(), status);
-      }
-      break;
-    }
-    stream.expires_never();
-    CallerRequest request = parser.release();
-    CallerWatch watch(stream.socket());
-    RequestRun run(aState, stream, watch, request);
-    isOpen = co_await run.Run();
+    isOpen = co_await ServeRequest(aState, stream, buffer);
   }
-  beast::error_code ignored;
-  stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
 }
 
 } // namespace plantainhaven::edge
--- a/src/edge/caller_watch.h
+++ b/src/edge/caller_watch.h
@@ -48,7 +48,13 @@
 
   bool HasLeft() const { return this->state != nullptr && this->state->hasLeft; }
   // Called once when the caller leaves; replaces the previous reaction.
-  void OnLeave(std::function<void()> aReaction) { this->state->reaction = std::move(aReaction); }
+  // Does nothing before Start().
+  void OnLeave(std::function<void()> aReaction)
+  {
+    if (this->state != nullptr) {
+      this->state->reaction = std::move(aReaction);
+    }
+  }
 
 private:
   struct State
--- a/src/edge/exchange.cc
+++ b/src/edge/exchange.cc
@@ -88,39 +88,126 @@
   co_return true;
 }
 
+struct Exchange::Writer
+{
+  explicit Writer(asio::io_context& aContext)
+    : ended(aContext)
+  {
+    this->ended.expires_at(asio::steady_timer::time_point::max());
+  }
+  asio::steady_timer ended;
+  bool hasEnded = false;
+};
+
 Task<void>
-Exchange::Send(const ServerRequest& aRequest, std::chrono::steady_clock::time_point aUntil)
+Exchange::Send(http::request_header<http::fields> aHead,
+               CallerBody& aBody,
+               std::chrono::steady_clock::time_point aUntil)
 {
-  beast::tcp_stream& stream = this->upstream->stream;
-  stream.expires_at(aUntil);
+  const auto id = aHead[platform::kRequestIdHeader];
+  this->requestId.assign(id.data(), id.size());
+  this->isHead = aHead.method() == http::verb::head;
+  this->upstream->stream.expires_at(aUntil);
   beast::error_code fault;
-  co_await http::async_write(stream, aRequest, Into(fault));
-  // A server may answer and close before it has read a long body, so a failed write doesn't
-  // end the exchange before the read does.
-  const bool isWritten = !fault;
-  this->isTainted = !isWritten;
-  fault = co_await this->ReadHead(aRequest);
-  if (!fault) {
-    fault = co_await this->ReadBody();
+  if (aBody.IsWhole()) {
+    co_await this->Write(std::move(aHead), aBody);
+    fault = co_await this->ReadResponse();
+  } else {
+    const auto writer = std::make_shared<Writer>(this->context);
+    asio::co_spawn(
+      this->context, this->WriteParts(std::move(aHead), aBody, writer), asio::detached);
+    fault = co_await this->ReadResponse();
+    if (!writer->hasEnded) {
+      this->isUnfinished = true;
+      aBody.Cancel();
+      this->upstream->stream.cancel();
+      beast::error_code ignored;
+      co_await writer->ended.async_wait(Into(ignored));
+    }
   }
   if (fault) {
     this->outcome = IsTimeout(fault) ? SendOutcome::kTimeout : SendOutcome::kBroken;
     this->faultText = fault.message();
     co_return;
   }
-  this->Judge(aRequest);
+  this->Judge();
+}
+
+Task<void>
+Exchange::Write(http::request_header<http::fields> aHead, CallerBody& aBody)
+{
+  const bool hasBody = aHead.count(http::field::content_length) > 0 || !aBody.First().empty();
+  http::request<http::string_body> request(std::move(aHead), aBody.First());
+  if (hasBody) {
+    request.content_length(request.body().size());
+  }
+  beast::error_code fault;
+  co_await http::async_write(this->upstream->stream, request, Into(fault));
+  // A server may answer and close before it has read a body, so a failed write doesn't end
+  // the exchange before the read does.
+  this->isUnfinished = static_cast<bool>(fault);
+}
+
+Task<void>
+Exchange::WriteParts(http::request_header<http::fields> aHead,
+                     CallerBody& aBody,
+                     std::shared_ptr<Writer> aWriter)
+{
+  http::request<http::buffer_body> request(std::move(aHead));
+  if (request.count(http::field::content_length) == 0) {
+    request.chunked(true);
+  }
+  http::request_serializer<http::buffer_body> serializer(request);
+  request.body().data = nullptr;
+  request.body().more = true;
+  beast::error_code fault;
+  co_await http::async_write_header(this->upstream->stream, serializer, Into(fault));
+  std::string part = aBody.First();
+  while (!fault) {
+    const bool isLast = part.empty();
+    if (isLast && !aBody.IsWhole()) {
+      break;
+    }
+    request.body().data = isLast ? nullptr : part.data();
+    request.body().size = part.size();
+    request.body().more = !isLast;
+    co_await http::async_write(this->upstream->stream, serializer, Into(fault));
+    if (fault == http::error::need_buffer) {
+      fault = {};
+    }
+    if (isLast) {
+      break;
+    }
+    part = co_await aBody.ReadMore();
+  }
+  this->isUnfinished = fault || !aBody.IsWhole();
+  if (aBody.Fault()) {
+    // The server waits for a rest that won't come.
+    this->upstream->stream.close();
+  }
+  aWriter->hasEnded = true;
+  aWriter->ended.cancel();
+}
+
+Task<beast::error_code>
+Exchange::ReadResponse()
+{
+  beast::error_code fault = co_await this->ReadHead();
+  if (!fault) {
+    fault = co_await this->ReadBody();
+  }
+  co_return fault;
 }
 
 Task<beast::error_code>
-Exchange::ReadHead(const ServerRequest& aRequest)
+Exchange::ReadHead()
 {
   beast::tcp_stream& stream = this->upstream->stream;
-  const auto wanted = aRequest[platform::kRequestIdHeader];
   for (int stale = 0; stale <= kMaxStale; ++stale) {
     this->parser.emplace();
     this->parser->header_limit(kMaxHeadBytes);
     this->parser->body_limit(kMaxBodyBytes);
-    this->parser->skip(aRequest.method() == http::verb::head);
+    this->parser->skip(this->isHead);
     beast::error_code fault;
     co_await http::async_read_header(stream, this->upstream->buffer, *this->parser, Into(fault));
     if (fault) {
@@ -128,7 +215,7 @@
     }
     const auto id = this->Head()[platform::kRequestIdHeader];
     const bool isInterim = this->Status() / 100 == 1;
-    if (!isInterim && (id.empty() || id == wanted)) {
+    if (!isInterim && (id.empty() || id == this->requestId)) {
       co_return beast::error_code();
     }
     this->isTainted = this->isTainted || !isInterim;
@@ -192,14 +279,15 @@
 
 // Decides what the response is worth once its head and first part are there.
 void
-Exchange::Judge(const ServerRequest& aRequest)
+Exchange::Judge()
 {
+  this->isAnswered = true;
   const ServerHead& head = this->Head();
   const auto loadText = head[platform::kLoadHeader];
   if (const auto reported = platform::DecodeLoad({ loadText.data(), loadText.size() })) {
     this->load = ServerLoad{ reported->running, reported->waiting, reported->slots };
   }
-  const bool isEchoed = head[platform::kRequestIdHeader] == aRequest[platform::kRequestIdHeader];
+  const bool isEchoed = head[platform::kRequestIdHeader] == this->requestId;
   const bool statesNotRun = head.find(platform::kNotRunHeader) != head.end();
   const bool isMisdirected = this->Status() == 421;
   // Without the id on a used connection, the statement may belong to an earlier request.
@@ -240,8 +328,8 @@
 Exchange::Finish()
 {
   const bool isUsable = this->upstream != nullptr && this->parser && this->parser->is_done() &&
-                        this->parser->keep_alive() && !this->isTainted && !this->isCancelled &&
-                        this->upstream->buffer.size() == 0;
+                        this->parser->keep_alive() && !this->isTainted && !this->isUnfinished &&
+                        !this->isCancelled && this->upstream->buffer.size() == 0;
   if (isUsable) {
     this->upstream->idleLimit = IdleLimitOf(this->Head());
     this->upstream->stream.expires_never();
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "edge/caller_body.h"
 #include "edge/names.h"
 #include "edge/net.h"
 #include "edge/upstream_pool.h"
@@ -12,10 +13,6 @@
 
 namespace plantainhaven::edge {
 
-namespace http = beast::http;
-
-using CallerRequest = http::request<http::string_body>;
-using ServerRequest = http::request<http::string_body>;
 using ServerHead = http::response_header<http::fields>;
 using ServerParser = http::response_parser<http::buffer_body>;
 
@@ -31,8 +28,11 @@
   // was sent then.
   Task<bool> Connect(std::chrono::milliseconds aLongestIdle,
                      std::chrono::steady_clock::time_point aUntil);
-  // Sends the request and reads the response's head and the first part of its body.
-  Task<void> Send(const ServerRequest& aRequest, std::chrono::steady_clock::time_point aUntil);
+  // Sends the request and reads the response's head and the first part of its body. A
+  // server may answer before it has read a long body; the rest is then not sent.
+  Task<void> Send(http::request_header<http::fields> aHead,
+                  CallerBody& aBody,
+                  std::chrono::steady_clock::time_point aUntil);
   // The next part of the body; empty at its end or when it broke off.
   Task<std::string> ReadMore();
   // Ends what is under way: the caller has left.
@@ -50,28 +50,44 @@
   // The first part of the body, and whether it is all of it.
   std::string& Body() { return this->body; }
   bool IsWhole() const { return this->parser->is_done(); }
+  // A head was read that can be judged.
+  bool IsAnswered() const { return this->isAnswered; }
   std::optional<std::uint64_t> ContentLength() const;
   std::optional<ServerLoad> Load() const { return this->load; }
   // What ended the exchange, for the log; empty when nothing did.
   const std::string& Fault() const { return this->faultText; }
 
 private:
-  Task<beast::error_code> ReadHead(const ServerRequest& aRequest);
+  // A body that is being sent while the response is read.
+  struct Writer;
+
+  Task<void> Write(http::request_header<http::fields> aHead, CallerBody& aBody);
+  Task<void> WriteParts(http::request_header<http::fields> aHead,
+                        CallerBody& aBody,
+                        std::shared_ptr<Writer> aWriter);
+  Task<beast::error_code> ReadResponse();
+  Task<beast::error_code> ReadHead();
   Task<beast::error_code> ReadBody();
   Task<beast::error_code> ReadPart(std::size_t aMost);
-  void Judge(const ServerRequest& aRequest);
+  void Judge();
 
   asio::io_context& context;
   UpstreamPool& pool;
   BackendServer server;
   UpstreamPtr upstream;
   std::optional<ServerParser> parser;
+  // Of the request: its id, and whether its response has no body.
+  std::string requestId;
+  bool isHead = false;
   std::string body;
   SendOutcome outcome = SendOutcome::kBroken;
   bool isNotRun = false;
   // Bytes of another response came first, or follow: the connection serves no other request.
   bool isTainted = false;
+  // The request wasn't sent to its end: the connection serves no other request.
+  bool isUnfinished = false;
   bool isCancelled = false;
+  bool isAnswered = false;
   std::optional<ServerLoad> load;
   std::string faultText;
 };
--- /dev/null
+++ b/src/edge/forwarding.cc
@@ -0,0 +1,106 @@
+#include "edge/forwarding.h"
+
+#include "platform/names.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace plantainhaven::edge {
+namespace {
+
+constexpr std::array<std::string_view, 10> kHopFields{
+  "connection",          "expect", "keep-alive", "proxy-connection",  "proxy-authenticate",
+  "proxy-authorization", "te",     "trailer",    "transfer-encoding", "upgrade"
+};
+
+bool
+IsHopField(beast::string_view aName)
+{
+  return std::any_of(kHopFields.begin(), kHopFields.end(), [aName](std::string_view aHop) {
+    return beast::iequals(aName, beast::string_view(aHop.data(), aHop.size()));
+  });
+}
+
+// True when Connection lists the field.
+bool
+IsNamedByConnection(const http::fields& aFields, beast::string_view aName)
+{
+  const auto named = http::token_list(aFields[http::field::connection]);
+  return std::any_of(named.begin(), named.end(), [aName](const auto& aToken) {
+    return beast::iequals(aToken, aName);
+  });
+}
+
+// Fields that the module sets itself or that must not reach a server.
+bool
+IsOwnField(beast::string_view aName)
+{
+  constexpr std::array<const char*, 4> kOwn{
+    platform::kAccountHeader, platform::kTargetHeader, platform::kDeadlineHeader, "Authorization"
+  };
+  return std::any_of(
+    kOwn.begin(), kOwn.end(), [aName](const char* aOwn) { return beast::iequals(aName, aOwn); });
+}
+
+} // namespace
+
+std::optional<std::int64_t>
+ReadNumber(beast::string_view aText)
+{
+  std::int64_t value = 0;
+  const auto [rest, fault] = std::from_chars(aText.data(), aText.data() + aText.size(), value);
+  if (fault != std::errc() || rest != aText.data() + aText.size()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::string
+SecondsText(std::chrono::milliseconds aTime)
+{
+  const std::string fraction = std::to_string(1000 + aTime.count() % 1000).substr(1);
+  return std::to_string(aTime.count() / 1000) + "." + fraction;
+}
+
+std::string
+HostOf(beast::string_view aText)
+{
+  std::string host(ToStd(aText.substr(0, aText.find(':'))));
+  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char aLetter) {
+    return static_cast<char>(std::tolower(aLetter));
+  });
+  return host;
+}
+
+bool
+IsOfConnection(const http::fields& aFields, beast::string_view aName)
+{
+  return IsHopField(aName) || IsNamedByConnection(aFields, aName);
+}
+
+ServerRequestHead
+ForwardedHead(const CallerRequest& aRequest,
+              const BackendServer& aServer,
+              const Account* aAccount,
+              std::chrono::milliseconds aLeft)
+{
+  ServerRequestHead head;
+  head.version(11);
+  head.method_string(aRequest.method_string());
+  head.target(aRequest.target());
+  for (const auto& field : aRequest) {
+    const auto name = field.name_string();
+    if (!IsOfConnection(aRequest, name) && !IsOwnField(name)) {
+      head.insert(name, field.value());
+    }
+  }
+  head.set(platform::kDeadlineHeader, std::to_string(aLeft.count()));
+  head.set(platform::kTargetHeader, aServer.id);
+  if (aAccount != nullptr) {
+    head.set(platform::kAccountHeader, aAccount->name);
+  }
+  return head;
+}
+
+} // namespace plantainhaven::edge
--- a/src/edge/request_run.cc
+++ b/src/edge/request_run.cc
@@ -1,5 +1,6 @@
 #include "edge/request_run.h"
 
+#include "edge/forwarding.h"
 #include "plantainhaven/common/log.h"
 #include "plantainhaven/policy/placing/rendezvous.h"
 #include "platform/decode.h"
@@ -7,7 +8,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <utility>
 
 namespace plantainhaven::edge {
@@ -26,76 +26,10 @@
 constexpr std::chrono::milliseconds kLongestIdleOnce{ 1500 };
 constexpr std::chrono::milliseconds kLongestIdle{ 60000 };
 constexpr std::chrono::milliseconds kDefaultTimeout{ 10000 };
-// A caller that takes no bytes for this long is given up.
-constexpr std::chrono::seconds kCallerStall{ 20 };
 constexpr std::chrono::milliseconds kRetryUnconfigured{ 300 };
 constexpr std::chrono::milliseconds kRetryNotRun{ 200 };
 constexpr std::chrono::milliseconds kRetryStopping{ 50 };
 
-constexpr std::array<std::string_view, 9> kHopFields{ "connection",
-                                                      "keep-alive",
-                                                      "proxy-connection",
-                                                      "proxy-authenticate",
-                                                      "proxy-authorization",
-                                                      "te",
-                                                      "trailer",
-                                                      "transfer-encoding",
-                                                      "upgrade" };
-
-bool
-IsHopField(beast::string_view aName)
-{
-  return std::any_of(kHopFields.begin(), kHopFields.end(), [aName](std::string_view aHop) {
-    return beast::iequals(aName, beast::string_view(aHop.data(), aHop.size()));
-  });
-}
-
-// True when Connection lists the field.
-bool
-IsNamedByConnection(const http::fields& aFields, beast::string_view aName)
-{
-  const auto named = http::token_list(aFields[http::field::connection]);
-  return std::any_of(named.begin(), named.end(), [aName](const auto& aToken) {
-    return beast::iequals(aToken, aName);
-  });
-}
-
-// Fields that the module sets itself or that must not reach a server.
-bool
-IsOwnField(beast::string_view aName)
-{
-  constexpr std::array<const char*, 4> kOwn{
-    platform::kAccountHeader, platform::kTargetHeader, platform::kDeadlineHeader, "Authorization"
-  };
-  return std::any_of(
-    kOwn.begin(), kOwn.end(), [aName](const char* aOwn) { return beast::iequals(aName, aOwn); });
-}
-
-std::string_view
-ToStd(beast::string_view aText)
-{
-  return { aText.data(), aText.size() };
-}
-
-std::optional<std::int64_t>
-ReadNumber(beast::string_view aText)
-{
-  std::int64_t value = 0;
-  const auto [rest, fault] = std::from_chars(aText.data(), aText.data() + aText.size(), value);
-  if (fault != std::errc() || rest != aText.data() + aText.size()) {
-    return std::nullopt;
-  }
-  return value;
-}
-
-// "1.250" for 1250 ms.
-std::string
-SecondsText(std::chrono::milliseconds aTime)
-{
-  const std::string fraction = std::to_string(1000 + aTime.count() % 1000).substr(1);
-  return std::to_string(aTime.count() / 1000) + "." + fraction;
-}
-
 const char*
 OutcomeName(SendOutcome aOutcome)
 {
@@ -104,38 +38,18 @@
   return kNames[static_cast<std::size_t>(aOutcome)];
 }
 
-template<typename Message>
-void
-CopyFields(const http::fields& aFrom, Message& aTo)
-{
-  for (const auto& field : aFrom) {
-    if (!IsHopField(field.name_string()) && !IsNamedByConnection(aFrom, field.name_string())) {
-      aTo.insert(field.name_string(), field.value());
-    }
-  }
-}
-
-// Host without its port, in lower case.
-std::string
-HostOf(beast::string_view aText)
-{
-  std::string host(ToStd(aText.substr(0, aText.find(':'))));
-  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char aLetter) {
-    return static_cast<char>(std::tolower(aLetter));
-  });
-  return host;
-}
-
 } // namespace
 
 RequestRun::RequestRun(TrafficState& aState,
                        beast::tcp_stream& aCaller,
                        CallerWatch& aWatch,
-                       CallerRequest& aRequest)
+                       CallerRequest& aRequest,
+                       CallerBody& aBody)
   : state(aState)
   , caller(aCaller)
   , watch(aWatch)
   , request(aRequest)
+  , body(aBody)
   , arrivedAt(BootClock::Now())
 {
   ++this->state.openRequests;
@@ -151,9 +65,22 @@
                    std::string_view aReason,
                    std::chrono::milliseconds aRetryAfter)
 {
-  this->refusalStatus = aStatus;
-  this->refusalReason = aReason;
-  this->retryAfter = aRetryAfter;
+  this->refusal = Refusal{ aStatus, std::string(aReason), aRetryAfter };
+}
+
+bool
+RequestRun::KeepsAlive() const
+{
+  return this->request.keep_alive() && !this->state.isStopping && this->body.IsWhole();
+}
+
+CallerResponse
+RequestRun::Answer() const
+{
+  return { this->caller,
+           { .version = this->request.version(),
+             .isHead = this->request.method() == http::verb::head,
+             .keepsAlive = this->KeepsAlive() } };
 }
 
 bool
@@ -258,14 +185,17 @@
     co_return co_await this->WriteRefusal();
   }
   this->PrepareWish();
-  this->watch.Start();
+  // While a body is still coming, its reader notices that the caller leaves.
+  if (this->body.IsWhole()) {
+    this->watch.Start();
+  }
   while (true) {
     std::uint64_t waiter = 0;
     this->watch.OnLeave([this, &waiter] { this->state.dispatcher.Abandon(waiter); });
     const Granted granted = co_await this->state.dispatcher.Acquire(this->wish, waiter);
     this->watch.OnLeave(nullptr);
     if (const NoSend* const none = std::get_if<NoSend>(&granted)) {
-      if (none->reason == NoSendReason::kCallerLeft || this->watch.HasLeft()) {
+      if (none->reason == NoSendReason::kCallerLeft || this->HasCallerLeft()) {
         this->state.metrics.Count("plantainhaven_caller_left_total", "while", "waiting");
         co_return false;
       }
@@ -282,37 +212,10 @@
     }
   }
   this->watch.Stop();
-  if (this->refusalStatus != 0) {
+  if (this->refusal) {
     co_return co_await this->WriteRefusal();
   }
-  co_return this->request.keep_alive() && !this->state.isStopping;
-}
-
-ServerRequest
-RequestRun::Forwarded(const BackendServer& aServer, std::chrono::milliseconds aLeft) const
-{
-  ServerRequest forwarded(this->request.method(), this->request.target(), 11);
-  if (this->request.method() == http::verb::unknown) {
-    forwarded.method_string(this->request.method_string());
-  }
-  for (const auto& field : this->request) {
-    const auto name = field.name_string();
-    if (!IsHopField(name) && !IsOwnField(name) && !IsNamedByConnection(this->request, name)) {
-      forwarded.insert(name, field.value());
-    }
-  }
-  forwarded.set(platform::kDeadlineHeader, std::to_string(aLeft.count()));
-  forwarded.set(platform::kTargetHeader, aServer.id);
-  if (this->account != nullptr) {
-    forwarded.set(platform::kAccountHeader, this->account->name);
-  }
-  forwarded.body() = this->request.body();
-  const bool hadBody = this->request.find(http::field::content_length) != this->request.end() ||
-                       this->request.chunked();
-  if (hadBody) {
-    forwarded.content_length(forwarded.body().size());
-  }
-  return forwarded;
+  co_return this->KeepsAlive();
 }
 
 Task<RequestRun::Next>
@@ -349,13 +252,19 @@
   if (this->sends == 1) {
     this->state.dispatcher.CountFirstSend(this->wish.service);
   }
-  const ServerRequest forwarded =
-    this->Forwarded(aServer, std::max(this->Left(), std::chrono::milliseconds(1)));
-  co_await exchange.Send(forwarded, steadyNow + left + kAnswerTravel);
+  ServerRequestHead head = ForwardedHead(
+    this->request, aServer, this->account, std::max(this->Left(), std::chrono::milliseconds(1)));
+  co_await exchange.Send(std::move(head), this->body, steadyNow + left + kAnswerTravel);
   if (exchange.Load()) {
     this->state.dispatcher.OnLoad(aServer.id, *exchange.Load());
   }
-  if (this->watch.HasLeft()) {
+  if (this->body.Fault() == http::error::body_limit) {
+    end(SendOutcome::kAbandoned);
+    exchange.Cancel();
+    this->Refuse(413, "body_too_large", {});
+    co_return Next::kDone;
+  }
+  if (this->watch.HasLeft() || (this->body.HasBroken() && !exchange.IsAnswered())) {
     end(SendOutcome::kAbandoned);
     this->state.metrics.Count("plantainhaven_caller_left_total", "while", "running");
     co_return Next::kClose;
@@ -386,7 +295,7 @@
     exchange.Outcome() == SendOutcome::kFailed && exchange.Status() >= 500 &&
     exchange.Head().find(platform::kSignatureHeader) != exchange.Head().end();
   if (next == Next::kDone && isServersAnswer && exchange.IsWhole()) {
-    this->refusalStatus = 0;
+    this->refusal.reset();
     co_return co_await this->PassOn(exchange);
   }
   exchange.Finish();
@@ -419,7 +328,8 @@
   const SendOutcome outcome = aExchange.Outcome();
   this->state.metrics.Count("plantainhaven_send_failures_total", "outcome", OutcomeName(outcome));
   this->mayHaveRun = this->mayHaveRun || !aExchange.IsNotRun();
-  const bool mayGoOn = aExchange.IsNotRun() || this->route->isIdempotent;
+  const bool mayGoOn =
+    (aExchange.IsNotRun() || this->route->isIdempotent) && !this->body.HasMoved();
   if (outcome != SendOutcome::kTimeout && mayGoOn && this->MayRepeat()) {
     this->state.metrics.Count("plantainhaven_repeats_total", "reason", OutcomeName(outcome));
     return Next::kRepeat;
@@ -437,12 +347,8 @@
 Task<RequestRun::Next>
 RequestRun::PassOn(Exchange& aExchange)
 {
-  bool isWritten = false;
-  if (aExchange.IsWhole()) {
-    isWritten = co_await this->PassOnWhole(aExchange);
-  } else {
-    isWritten = co_await this->PassOnStream(aExchange);
-  }
+  CallerResponse answer = this->Answer();
+  const bool isWritten = co_await answer.PassOn(aExchange);
   if (!isWritten) {
     aExchange.Cancel();
     co_return Next::kClose;
@@ -451,107 +357,30 @@
   co_return Next::kDone;
 }
 
-Task<bool>
-RequestRun::PassOnWhole(Exchange& aExchange)
-{
-  http::response<http::string_body> response;
-  response.result(aExchange.Status());
-  response.version(this->request.version());
-  CopyFields(aExchange.Head(), response);
-  response.keep_alive(this->request.keep_alive() && !this->state.isStopping);
-  const bool isHead = this->request.method() == http::verb::head;
-  if (!isHead) {
-    response.body() = std::move(aExchange.Body());
-    response.content_length(response.body().size());
-  }
-  http::response_serializer<http::string_body> serializer(response);
-  serializer.split(isHead);
-  beast::error_code fault;
-  this->caller.expires_after(kCallerStall);
-  if (isHead) {
-    co_await http::async_write_header(this->caller, serializer, Into(fault));
-  } else {
-    co_await http::async_write(this->caller, serializer, Into(fault));
-  }
-  co_return !fault;
-}
-
-Task<bool>
-RequestRun::PassOnStream(Exchange& aExchange)
-{
-  http::response<http::buffer_body> response;
-  response.result(aExchange.Status());
-  response.version(this->request.version());
-  CopyFields(aExchange.Head(), response);
-  response.keep_alive(this->request.keep_alive() && !this->state.isStopping);
-  const auto length = aExchange.ContentLength();
-  if (length) {
-    response.content_length(*length);
-  } else {
-    response.chunked(true);
-  }
-  http::response_serializer<http::buffer_body> serializer(response);
-  beast::error_code fault;
-  this->caller.expires_after(kCallerStall);
-  co_await http::async_write_header(this->caller, serializer, Into(fault));
-  std::string part = std::move(aExchange.Body());
-  while (!fault) {
-    const bool isLast = part.empty();
-    if (isLast && !aExchange.IsWhole()) {
-      // The response broke off: closing the connection short is what tells the caller.
-      co_return false;
-    }
-    response.body().data = isLast ? nullptr : part.data();
-    response.body().size = part.size();
-    response.body().more = !isLast;
-    this->caller.expires_after(kCallerStall);
-    co_await http::async_write(this->caller, serializer, Into(fault));
-    if (fault == http::error::need_buffer) {
-      fault = {};
-    }
-    if (isLast) {
-      break;
-    }
-    part = co_await aExchange.ReadMore();
-  }
-  co_return !fault;
-}
-
 Task<bool>
 RequestRun::WriteRefusal()
 {
-  this->state.metrics.Count("plantainhaven_refusals_total", "reason", this->refusalReason);
+  this->state.metrics.Count("plantainhaven_refusals_total", "reason", this->refusal->reason);
   Log(LogLevel::kInfo,
       "refused",
       { { "request", this->requestId },
-        { "status", this->refusalStatus },
-        { "reason", this->refusalReason },
+        { "status", this->refusal->status },
+        { "reason", this->refusal->reason },
         { "route", this->route == nullptr ? std::string_view() : this->route->name },
         { "account", this->account == nullptr ? std::string_view() : this->account->name },
         { "service", this->wish.service },
         { "sends", this->sends },
-        { "retry_after_ms", this->retryAfter.count() },
+        { "retry_after_ms", this->refusal->retryAfter.count() },
         { "held_ms", ToMilliseconds(BootClock::Now() - this->arrivedAt).count() },
         { "configuration", this->routing == nullptr ? 0 : this->routing->version } });
-  http::response<http::string_body> response;
-  response.result(this->refusalStatus);
-  response.version(this->request.version());
-  if (!this->requestId.empty()) {
-    response.set(platform::kRequestIdHeader, this->requestId);
-  }
-  if (this->retryAfter.count() > 0) {
+  if (this->refusal->retryAfter.count() > 0) {
     // Spread, so that callers refused together don't come back together.
-    std::uniform_int_distribution<std::int64_t> spread(0, this->retryAfter.count() / 2);
-    const auto wait = this->retryAfter + std::chrono::milliseconds(spread(this->state.random));
-    response.set(http::field::retry_after, SecondsText(wait));
+    std::uniform_int_distribution<std::int64_t> spread(0, this->refusal->retryAfter.count() / 2);
+    this->refusal->retryAfter += std::chrono::milliseconds(spread(this->state.random));
   }
-  response.keep_alive(this->request.keep_alive() && !this->state.isStopping);
-  response.body() = this->refusalReason + "\n";
-  response.prepare_payload();
-  beast::error_code fault;
-  this->caller.expires_after(kCallerStall);
-  co_await http::async_write(this->caller, response, Into(fault));
-  co_return !fault && response.keep_alive();
+  CallerResponse answer = this->Answer();
+  const bool isWritten = co_await answer.Refuse(*this->refusal, this->requestId);
+  co_return isWritten&& this->KeepsAlive();
 }
 
 Task<bool>
--- a/src/edge/request_run.h
+++ b/src/edge/request_run.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "edge/caller_body.h"
+#include "edge/caller_response.h"
 #include "edge/caller_watch.h"
 #include "edge/dispatcher.h"
 #include "edge/exchange.h"
@@ -9,6 +11,7 @@
 #include "plantainhaven/common/metrics.h"
 
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -38,7 +41,8 @@
   RequestRun(TrafficState& aState,
              beast::tcp_stream& aCaller,
              CallerWatch& aWatch,
-             CallerRequest& aRequest);
+             CallerRequest& aRequest,
+             CallerBody& aBody);
   ~RequestRun();
   RequestRun(const RequestRun&) = delete;
   RequestRun& operator=(const RequestRun&) = delete;
@@ -64,15 +68,16 @@
   void Refuse(unsigned aStatus, std::string_view aReason, std::chrono::milliseconds aRetryAfter);
   void PrepareWish();
   std::string PickService();
-  ServerRequest Forwarded(const BackendServer& aServer, std::chrono::milliseconds aLeft) const;
   Task<Next> Attempt(const BackendServer& aServer);
   Next AfterFailure(const Exchange& aExchange);
   Next AfterNoConnection();
   bool MayRepeat();
   Task<Next> PassOn(Exchange& aExchange);
-  Task<bool> PassOnWhole(Exchange& aExchange);
-  Task<bool> PassOnStream(Exchange& aExchange);
   Task<bool> WriteRefusal();
+  // False when the connection must be closed after the answer.
+  bool KeepsAlive() const;
+  CallerResponse Answer() const;
+  bool HasCallerLeft() const { return this->watch.HasLeft() || this->body.HasBroken(); }
   std::chrono::milliseconds Left() const;
   void LogFailure(const BackendServer& aServer, const Exchange& aExchange) const;
 
@@ -80,6 +85,7 @@
   beast::tcp_stream& caller;
   CallerWatch& watch;
   CallerRequest& request;
+  CallerBody& body;
   RoutingPtr routing;
   const Route* route = nullptr;
   const Account* account = nullptr;
@@ -90,9 +96,8 @@
   int sends = 0;
   int connectFailures = 0;
   bool mayHaveRun = false;
-  unsigned refusalStatus = 0;
-  std::string refusalReason;
-  std::chrono::milliseconds retryAfter{ 0 };
+  // What the caller gets when no server's response is passed on.
+  std::optional<Refusal> refusal;
 };
 
 } // namespace plantainhaven::edge
--- /dev/null
+++ b/test/edge/one_vm.h
@@ -0,0 +1,262 @@
+#pragma once
+
+#include "edge/context.h"
+#include "edge/fake_server.h"
+#include "edge/traffic.h"
+#include "platform/free_port.h"
+#include "platform/names.h"
+
+#include <atomic>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+
+namespace plantainhaven::edge {
+
+namespace http = beast::http;
+using Answer = http::response<http::string_body>;
+
+inline constexpr const char* kSigned = "X-Plantainhaven-Response-Signature: sig\r\n";
+
+inline std::string
+IdLine(const FakeRequest& aRequest)
+{
+  const auto id = aRequest[platform::kRequestIdHeader];
+  return std::string(platform::kRequestIdHeader) + ": " + std::string(id.data(), id.size()) +
+         "\r\n";
+}
+
+inline std::string
+Response(const FakeRequest& aRequest,
+         const std::string& aStatus,
+         const std::string& aFields,
+         const std::string& aBody)
+{
+  return "HTTP/1.1 " + aStatus + "\r\n" + IdLine(aRequest) + aFields +
+         "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+inline FakeAnswer
+Served(const FakeRequest& aRequest)
+{
+  return { Response(aRequest, "200 OK", kSigned, "whole") };
+}
+
+inline FakeAnswer
+Shed(const FakeRequest& aRequest)
+{
+  return { Response(aRequest, "503 Busy", "X-Plantainhaven-Not-Executed: 1\r\n", "") };
+}
+
+inline FakeAnswer
+Failed(const FakeRequest& aRequest)
+{
+  return { Response(aRequest, "500 Error", kSigned, "failed") };
+}
+
+inline FakeAnswer
+Unsigned(const FakeRequest& aRequest)
+{
+  return { Response(aRequest, "200 OK", "", "whole") };
+}
+
+inline FakeAnswer
+ClosedWithoutAnswer(const FakeRequest&)
+{
+  return { "", true };
+}
+
+inline FakeAnswer
+Truncated(const FakeRequest& aRequest)
+{
+  return { "HTTP/1.1 200 OK\r\n" + IdLine(aRequest) + kSigned + "Content-Length: 100\r\n\r\npart",
+           true };
+}
+
+inline FakeAnswer
+NoResponse(const FakeRequest&)
+{
+  return { "these bytes are no response\r\n\r\n", true };
+}
+
+inline FakeAnswer
+WithoutLength(const FakeRequest& aRequest)
+{
+  return { "HTTP/1.1 200 OK\r\n" + IdLine(aRequest) + kSigned + "\r\nwhole", true };
+}
+
+// A VM with two backend servers of one service, its routes and one account.
+class OneVm
+{
+public:
+  OneVm()
+    : first(Served)
+    , second(Served)
+  {
+    this->settings.mutable_vm()->set_name("vm-1");
+    this->settings.mutable_vm()->set_address("127.0.0.1");
+    this->settings.mutable_vm()->set_region("north");
+    this->callersPort = FreePort();
+    auto* const listen = this->settings.mutable_listen();
+    listen->set_callers("127.0.0.1:" + std::to_string(this->callersPort));
+    listen->set_readiness("127.0.0.1:" + std::to_string(FreePort()));
+    listen->set_lookups("127.0.0.1:" + std::to_string(FreePort()));
+    this->traffic = std::make_unique<Traffic>(
+      this->context,
+      this->settings,
+      platform::Bounds(),
+      this->metrics,
+      [](const std::string&, const Envelope&) {},
+      [](const VmReport&) {});
+    this->traffic->Start();
+    this->traffic->SetRouting(MakeRouting());
+    this->traffic->SetQuotaRange({ 0, kWholeQuota });
+    this->traffic->SetServers(
+      { this->MakeServer("s1", this->first), this->MakeServer("s2", this->second) },
+      BootClock::Now());
+    this->thread = std::thread([this] { this->context.run(); });
+  }
+
+  ~OneVm()
+  {
+    this->context.stop();
+    this->thread.join();
+    this->context.End();
+  }
+
+  // Sends a request on a connection of its own and returns the answer; status 0 when the
+  // connection ended without a whole one.
+  Answer Ask(http::verb aMethod, const std::string& aPath, const std::string& aKey = "key-1")
+  {
+    asio::io_context own;
+    Tcp::socket socket(own);
+    socket.connect({ asio::ip::make_address("127.0.0.1"), this->callersPort });
+    return this->AskOn(socket, aMethod, aPath, aKey);
+  }
+
+  Answer AskOn(Tcp::socket& aSocket,
+               http::verb aMethod,
+               const std::string& aPath,
+               const std::string& aKey = "key-1")
+  {
+    http::request<http::string_body> request(aMethod, aPath, 11);
+    request.set(http::field::host, "shop.example");
+    request.set(platform::kRequestIdHeader, "id-" + std::to_string(++this->asked));
+    request.set(platform::kObjectHeader, "17");
+    request.set(platform::kDeadlineHeader, "1500");
+    request.set(platform::kAccountHeader, "forged");
+    request.set(http::field::authorization, "Token " + aKey);
+    request.prepare_payload();
+    beast::error_code fault;
+    http::write(aSocket, request, fault);
+    beast::flat_buffer buffer;
+    Answer answer;
+    http::read(aSocket, buffer, answer, fault);
+    if (fault) {
+      answer = {};
+      answer.result(0U);
+    }
+    return answer;
+  }
+
+  std::uint16_t CallersPort() const { return this->callersPort; }
+  // Sends all to one server at this port.
+  void UseServerAt(std::uint16_t aPort)
+  {
+    BackendServer server = this->MakeServer("s3", this->first);
+    server.port = aPort;
+    asio::post(this->context,
+               [this, server] { this->traffic->SetServers({ server }, BootClock::Now()); });
+  }
+
+  // First sends that earn a repeat.
+  void EarnRepeats()
+  {
+    for (int i = 0; i < 12; ++i) {
+      REQUIRE(this->Ask(http::verb::get, "/read/x").result_int() == 200);
+    }
+  }
+
+  void Spoil(FakeAnswer (*aFirst)(const FakeRequest&))
+  {
+    // Whichever server gets the request first answers badly, the other one well.
+    const auto used = std::make_shared<std::atomic<bool>>(false);
+    const auto handler = [used, aFirst](const FakeRequest& aRequest) {
+      return used->exchange(true) ? Served(aRequest) : aFirst(aRequest);
+    };
+    this->first.SetHandler(handler);
+    this->second.SetHandler(handler);
+  }
+
+  std::size_t Arrived() const
+  {
+    return this->first.Arrived().size() + this->second.Arrived().size();
+  }
+  FakeRequest Last() const
+  {
+    const auto one = this->first.Arrived();
+    return one.empty() ? this->second.Arrived().back() : one.back();
+  }
+
+private:
+  static RoutingPtr MakeRouting()
+  {
+    auto routing = std::make_shared<Routing>();
+    routing->version = 1;
+    routing->limits.maxBodyBytes = 1 << 20;
+    Route read;
+    read.name = "read";
+    read.prefix = "/read/";
+    read.isIdempotent = true;
+    read.timeout = std::chrono::milliseconds(1000);
+    read.latencyObjective = std::chrono::milliseconds(300);
+    read.maxAttempts = 2;
+    read.targets = { { "portal", 1.0 } };
+    Route book = read;
+    book.name = "book";
+    book.prefix = "/book/";
+    book.isIdempotent = false;
+    routing->AddRoute("shop.example", read);
+    routing->AddRoute("shop.example", book);
+    Account account;
+    account.name = "shop";
+    Account poor;
+    poor.name = "poor";
+    poor.rate = 0.001;
+    poor.burst = 1;
+    routing->accounts = { account, poor };
+    routing->AddKey("key-1", 0);
+    routing->AddKey("key-2", 1);
+    return routing;
+  }
+
+  BackendServer MakeServer(const std::string& aId, const FakeServer& aServer) const
+  {
+    BackendServer server;
+    server.id = aId;
+    server.service = "portal";
+    server.address = "127.0.0.1";
+    server.port = aServer.Port();
+    server.region = "north";
+    server.failureDomain = "north-a";
+    server.slots = 4;
+    return server;
+  }
+
+  EdgedSettings settings;
+  Metrics metrics;
+  FakeServer first;
+  FakeServer second;
+  Context context;
+  std::uint16_t callersPort = 0;
+  std::unique_ptr<Traffic> traffic;
+  std::thread thread;
+  std::atomic<int> asked{ 0 };
+};
+
+} // namespace plantainhaven::edge
--- /dev/null
+++ b/test/edge/request_body_test.cc
@@ -0,0 +1,245 @@
+#include "edge/caller_body.h"
+#include "edge/one_vm.h"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <thread>
+
+namespace plantainhaven::edge {
+namespace {
+
+constexpr std::size_t kSmall = 1000;
+constexpr std::size_t kLarge = 300'000;
+constexpr std::size_t kTooLarge = 1'200'000;
+
+// A connection of a caller that writes bytes as they are.
+class RawCaller
+{
+public:
+  explicit RawCaller(std::uint16_t aPort)
+    : socket(context)
+  {
+    this->socket.connect({ asio::ip::make_address("127.0.0.1"), aPort });
+  }
+
+  void Head(const std::string& aPath, const std::string& aFields)
+  {
+    this->Write("POST " + aPath +
+                " HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Token key-1\r\n"
+                "X-Plantainhaven-Request-Id: raw-1\r\nX-Plantainhaven-Deadline: 1500\r\n" +
+                aFields + "\r\n");
+  }
+  void Write(const std::string& aBytes)
+  {
+    beast::error_code ignored;
+    asio::write(this->socket, asio::buffer(aBytes), ignored);
+  }
+  void WriteChunked(const std::string& aBody, std::size_t aChunk)
+  {
+    for (std::size_t at = 0; at < aBody.size(); at += aChunk) {
+      const std::string part = aBody.substr(at, aChunk);
+      char size[20];
+      std::snprintf(size, sizeof(size), "%zx\r\n", part.size());
+      this->Write(size + part + "\r\n");
+    }
+    this->Write("0\r\n\r\n");
+  }
+  Answer Read()
+  {
+    Answer answer;
+    beast::error_code fault;
+    http::read(this->socket, this->buffer, answer, fault);
+    if (fault) {
+      answer.result(0U);
+    }
+    return answer;
+  }
+  void Close() { this->socket.close(); }
+
+private:
+  asio::io_context context;
+  Tcp::socket socket;
+  beast::flat_buffer buffer;
+};
+
+std::string
+BodyOf(std::size_t aSize)
+{
+  std::string body;
+  for (std::size_t i = 0; i < aSize; ++i) {
+    body += static_cast<char>('a' + (i * 7 + i / 251) % 26);
+  }
+  return body;
+}
+
+TEST_CASE("A server gets the caller's body as it was, short or long, with a length or in chunks")
+{
+  struct Case
+  {
+    std::string name;
+    std::size_t size;
+    bool isChunked;
+  };
+  const Case cases[] = {
+    { "empty, with a length", 0, false },
+    { "short, with a length", kSmall, false },
+    { "short, in chunks", kSmall, true },
+    { "as long as what is held", CallerBody::kHeldBytes, false },
+    { "one byte longer than what is held", CallerBody::kHeldBytes + 1, false },
+    { "long, with a length", kLarge, false },
+    { "long, in chunks", kLarge, true },
+  };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.name);
+    OneVm vm;
+    RawCaller caller(vm.CallersPort());
+    const std::string body = BodyOf(entry.size);
+    for (int round = 0; round < 2; ++round) {
+      if (entry.isChunked) {
+        caller.Head("/book/x", "Transfer-Encoding: chunked\r\n");
+        caller.WriteChunked(body, 5000);
+      } else {
+        caller.Head("/book/x", "Content-Length: " + std::to_string(body.size()) + "\r\n");
+        caller.Write(body);
+      }
+      const Answer answer = caller.Read();
+      REQUIRE(answer.result_int() == 200);
+      CHECK(answer.keep_alive());
+      CHECK((vm.Last().body() == body));
+    }
+    CHECK(vm.Arrived() == 2);
+  }
+}
+
+TEST_CASE("A body beyond the limit is refused with 413")
+{
+  struct Case
+  {
+    std::string name;
+    bool isChunked;
+  };
+  const Case cases[] = { { "with a length", false }, { "in chunks", true } };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.name);
+    OneVm vm;
+    RawCaller caller(vm.CallersPort());
+    std::thread writer([&] {
+      const std::string body = BodyOf(kTooLarge);
+      if (entry.isChunked) {
+        caller.Head("/book/x", "Transfer-Encoding: chunked\r\n");
+        caller.WriteChunked(body, 50000);
+      } else {
+        caller.Head("/book/x", "Content-Length: " + std::to_string(body.size()) + "\r\n");
+        caller.Write(body);
+      }
+    });
+    const Answer answer = caller.Read();
+    writer.join();
+    CHECK(answer.result_int() == 413);
+    CHECK_FALSE(answer.keep_alive());
+    CHECK(vm.Arrived() == 0);
+  }
+}
+
+// Answers as soon as it has a head, and reads what follows later.
+class EarlyServer
+{
+public:
+  explicit EarlyServer(std::string aAnswer)
+    : answer(std::move(aAnswer))
+    , acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 })
+    , thread([this] { this->Run(); })
+  {
+  }
+  ~EarlyServer()
+  {
+    ::shutdown(this->acceptor.native_handle(), SHUT_RDWR);
+    this->thread.join();
+  }
+  std::uint16_t Port() const { return this->acceptor.local_endpoint().port(); }
+
+private:
+  void Run()
+  {
+    Tcp::socket socket(this->context);
+    beast::error_code fault;
+    this->acceptor.accept(socket, fault);
+    std::string bytes;
+    if (!fault) {
+      asio::read_until(socket, asio::dynamic_buffer(bytes), "\r\n\r\n", fault);
+      asio::write(socket, asio::buffer(this->answer), fault);
+      std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    }
+  }
+
+  std::string answer;
+  asio::io_context context;
+  Tcp::acceptor acceptor;
+  std::thread thread;
+};
+
+TEST_CASE("An answer that comes before the body has ended reaches the caller")
+{
+  struct Case
+  {
+    std::string name;
+    std::string answer;
+    unsigned status;
+  };
+  const std::string common = "X-Plantainhaven-Request-Id: raw-1\r\nContent-Length: 5\r\n";
+  const Case cases[] = {
+    { "served",
+      "HTTP/1.1 200 OK\r\nX-Plantainhaven-Response-Signature: s\r\n" + common + "\r\nearly",
+      200 },
+    { "not run",
+      "HTTP/1.1 503 Busy\r\nX-Plantainhaven-Not-Executed: 1\r\n" + common + "\r\nearly",
+      503 },
+  };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.name);
+    EarlyServer server(entry.answer);
+    OneVm vm;
+    vm.UseServerAt(server.Port());
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    RawCaller caller(vm.CallersPort());
+    caller.Head("/book/x", "Content-Length: " + std::to_string(kLarge) + "\r\n");
+    caller.Write(BodyOf(100'000));
+    const Answer answer = caller.Read();
+    CHECK(answer.result_int() == entry.status);
+    CHECK_FALSE(answer.keep_alive());
+  }
+}
+
+TEST_CASE("A server learns that the caller left before its body ended")
+{
+  OneVm vm;
+  {
+    RawCaller caller(vm.CallersPort());
+    caller.Head("/book/x", "Content-Length: " + std::to_string(kLarge) + "\r\n");
+    caller.Write(BodyOf(100'000));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    caller.Close();
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  // The whole request never arrived, and the VM serves on.
+  CHECK(vm.Arrived() == 0);
+  CHECK(vm.Ask(http::verb::get, "/read/x").result_int() == 200);
+}
+
+TEST_CASE("A caller that asks first is told to send its body")
+{
+  OneVm vm;
+  RawCaller caller(vm.CallersPort());
+  caller.Head("/book/x", "Content-Length: 5\r\nExpect: 100-continue\r\n");
+  CHECK(caller.Read().result_int() == 100);
+  caller.Write("hello");
+  CHECK(caller.Read().result_int() == 200);
+  CHECK(vm.Last().body() == "hello");
+  CHECK(vm.Last().count(http::field::expect) == 0);
+}
+
+} // namespace
+} // namespace plantainhaven::edge
