Reckon bound requests' wait by their regions; overflow while there is room to spare

Bound requests now wait by the completions of their regions and for each other alone. While all regions together are used below 0.75, what finds its region full runs in another one as long as 6 in 100 change their region (RegionMix); above, it waits as before.

--- a/include/plantainhaven/policy/placing/placement.h
+++ b/include/plantainhaven/policy/placing/placement.h
@@ -88,6 +88,9 @@
   void SetPeers(std::vector<PlacingPeer> aPeers);
   // How requests for a service that came in here are split between regions.
   void SetPlan(const std::string& aService, std::vector<RegionShare> aPlan);
+  // Whether all regions together have room to spare: then what finds its region full may run
+  // in another one. Otherwise it waits, since the servers there know other objects.
+  void SetSpareRoom(const std::string& aService, bool aHasSpareRoom);
 
   Placing Choose(const PlacingRequest& aRequest, BootTime aNow);
   // A request is sent to a server that Choose() named.
--- a/include/plantainhaven/policy/placing/region_plan.h
+++ b/include/plantainhaven/policy/placing/region_plan.h
@@ -33,6 +33,10 @@
 std::vector<RegionShare>
 PlanRegions(const std::vector<RegionState>& aRegions, std::string_view aHome);
 
+// Whether demand leaves room to spare in all regions together.
+bool
+HasSpareRoom(const std::vector<RegionState>& aRegions);
+
 // The demand taken while none has been seen: all regions alike, at kFirstUse of all slots.
 std::vector<RegionState>
 WithAssumedDemand(std::vector<RegionState> aRegions);
@@ -57,5 +61,7 @@
 // for bursts.
 constexpr double kHomeUse = 0.6;
 constexpr double kFirstUse = 0.4;
+// Use of all slots below which there is room to spare.
+constexpr double kSpareUse = 0.75;
 
 } // namespace plantainhaven::placing
--- a/include/plantainhaven/policy/placing/waiting_line.h
+++ b/include/plantainhaven/policy/placing/waiting_line.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace plantainhaven::placing {
@@ -20,6 +21,8 @@
   BootTime objectiveAt{};
   // Started later, the response comes too late to be of use.
   BootTime latestStart{};
+  // Regions where it may run; empty for all.
+  std::vector<std::string> regions;
 };
 
 // Whether a request may wait.
@@ -32,7 +35,8 @@
 
 // Orders the requests that wait at this VM for one service: urgent ones first, among equals
 // those that can still meet their latency objective, in the order of arrival. Refuses at
-// once what, at the present rate of completions, wouldn't start in time. A line that stands
+// once what, at the present rate of completions, wouldn't start in time; what is bound to
+// some regions goes by the completions there, and waits for those alone. A line that stands
 // for longer than kStanding shows overload rather than a burst: then only requests that can
 // meet their objective wait, since slots spent on late ones would make those late too. Not
 // thread-safe.
@@ -49,16 +53,15 @@
   // Admits the waiter and keeps it, or refuses it.
   Admission Join(const Waiter& aWaiter, BootTime aNow);
   void Leave(std::uint64_t aId);
-  // A request of the service has ended here, so that a slot may be free.
-  void OnCompletion(BootTime aNow);
+  // A request of the service that this VM sent to the region has ended, so that a slot may
+  // be free there.
+  void OnCompletion(const std::string& aRegion, BootTime aNow);
 
   // The waiters' ids in the order in which room is to be offered.
   std::vector<std::uint64_t> Order(BootTime aNow) const;
   // Waiters that can no longer start in time; each is to be refused.
   std::vector<std::uint64_t> Hopeless(BootTime aNow) const;
   std::size_t Size() const;
-  // Completions a second, as a moving average.
-  double Rate(BootTime aNow) const;
 
 private:
   struct Impl;
--- a/src/edge/dispatcher.cc
+++ b/src/edge/dispatcher.cc
@@ -146,7 +146,8 @@
                        .priority = aWish.priority,
                        .arrivedAt = now,
                        .objectiveAt = aWish.objectiveAt - this->UsualTime(aWish.service),
-                       .latestStart = LatestStart(aWish, this->UsualTime(aWish.service)) };
+                       .latestStart = LatestStart(aWish, this->UsualTime(aWish.service)),
+                       .regions = aWish.allowed.names };
   const Admission admission = state.line.Join(waiter, now);
   if (!admission.admitted) {
     co_return NoSend{ NoSendReason::kNoRoom, admission.retryAfter };
@@ -191,7 +192,7 @@
   ServiceState& state = this->StateOf(aServer.service);
   --state.inFlight;
   if (aOutcome == SendOutcome::kServed) {
-    state.line.OnCompletion(now);
+    state.line.OnCompletion(aServer.region, now);
   }
   this->OfferRoom(aServer.service, state);
 }
@@ -290,6 +291,7 @@
     const auto target = PlanRegions(regions, this->options.region);
     state.plan = StepTowards(state.plan, target, this->options.planStep);
     this->placement.SetPlan(name, state.plan);
+    this->placement.SetSpareRoom(name, HasSpareRoom(regions));
     LogPlan(name, state, regions);
   }
 }
--- a/src/edge/names.h
+++ b/src/edge/names.h
@@ -22,6 +22,7 @@
 using placing::BackendServer;
 using placing::CallerLimits;
 using placing::EntryVm;
+using placing::HasSpareRoom;
 using placing::IntersectRegions;
 using placing::kWholeQuota;
 using placing::Placement;
--- a/src/policy/placing/placement.cc
+++ b/src/policy/placing/placement.cc
@@ -1,5 +1,6 @@
 #include "plantainhaven/policy/placing/placement.h"
 
+#include "plantainhaven/policy/placing/region_mix.h"
 #include "plantainhaven/policy/placing/rendezvous.h"
 #include "policy/placing/server_record.h"
 
@@ -33,11 +34,15 @@
 // A region takes what waits for another one while its part of the sends lies this far below
 // its part of the plan.
 constexpr double kMixSlack = 0.02;
+// While there is spare room, a region takes what finds its own region full as long as this
+// part of the requests, or less, changes its region; the split may move as much again.
+constexpr double kMostOverflow = 0.06;
 constexpr std::uint64_t kPositionSalt = 0x5bd1e9955bd1e995ULL;
 
 struct ServiceRecord
 {
   std::vector<RegionShare> plan;
+  bool hasSpareRoom = false;
   double warmupRate = 0;
   double usualTime = 0;
   // Sends by region, fading, as of `mixedAt`.
@@ -114,6 +119,12 @@
   // near the plan: otherwise it changes at once when what waits for a full region is all
   // that is left.
   Placing ChooseBehindPlan(const PlacingRequest& aRequest, BootTime aNow);
+  // A server of another region than the planned one, which is full, as far as the mix of
+  // regions allows.
+  Placing ChooseOverflow(const PlacingRequest& aRequest,
+                         const std::string& aPlanned,
+                         BootTime aNow);
+  bool HasSpareRoom(std::string_view aService) const;
   Placing ChooseRanked(const PlacingRequest& aRequest, BootTime aNow);
 
   std::string self;
@@ -124,6 +135,7 @@
   std::map<std::string, ServiceRecord, std::less<>> services;
   std::set<std::string> avoided;
   std::set<std::string> regions;
+  RegionMix mix;
   std::vector<Sender> senders;
   std::map<std::string, std::size_t> sendersByRegion;
   // Whether this VM warms a server, by the server's hash, while the senders stay the same.
@@ -327,6 +339,37 @@
   return { PlacingState::kBusy, nullptr };
 }
 
+bool
+Placement::Impl::HasSpareRoom(std::string_view aService) const
+{
+  const auto found = this->services.find(aService);
+  return found != this->services.end() && found->second.hasSpareRoom;
+}
+
+Placing
+Placement::Impl::ChooseOverflow(const PlacingRequest& aRequest,
+                                const std::string& aPlanned,
+                                BootTime aNow)
+{
+  std::vector<std::pair<double, std::string>> order;
+  for (const std::string& name : this->regions) {
+    const auto moved = this->mix.MovedWith(name, aNow);
+    const bool mayTake = name != aPlanned && aRequest.allowed.Allows(name);
+    if (moved && *moved <= kMostOverflow && mayTake) {
+      order.emplace_back(*moved, name);
+    }
+  }
+  std::sort(order.begin(), order.end());
+  for (const auto& [moved, name] : order) {
+    this->Rank(aRequest, name, aNow);
+    const Placing placing = this->ChooseRanked(aRequest, aNow);
+    if (placing.state == PlacingState::kSend) {
+      return placing;
+    }
+  }
+  return { PlacingState::kBusy, nullptr };
+}
+
 Placement::Placement(std::string aSelf, std::string aRegion)
   : impl(std::make_unique<Impl>())
 {
@@ -415,6 +458,12 @@
   this->impl->services[aService].plan = std::move(aPlan);
 }
 
+void
+Placement::SetSpareRoom(const std::string& aService, bool aHasSpareRoom)
+{
+  this->impl->services[aService].hasSpareRoom = aHasSpareRoom;
+}
+
 Placing
 Placement::Choose(const PlacingRequest& aRequest, BootTime aNow)
 {
@@ -424,8 +473,12 @@
       continue;
     }
     const Placing placing = this->impl->ChooseRanked(aRequest, aNow);
-    return placing.state == PlacingState::kSend ? placing
-                                                : this->impl->ChooseBehindPlan(aRequest, aNow);
+    if (placing.state == PlacingState::kSend) {
+      return placing;
+    }
+    return this->impl->HasSpareRoom(aRequest.service)
+             ? this->impl->ChooseOverflow(aRequest, name, aNow)
+             : this->impl->ChooseBehindPlan(aRequest, aNow);
   }
   return {};
 }
@@ -438,6 +491,7 @@
     ServiceRecord& service = this->impl->services[record->Entry().service];
     FadeMix(service, aNow);
     service.mix[record->Entry().region] += 1;
+    this->impl->mix.OnSent(record->Entry().region, aNow);
   }
 }
 
--- a/src/policy/placing/region_plan.cc
+++ b/src/policy/placing/region_plan.cc
@@ -77,6 +77,18 @@
   return shares;
 }
 
+bool
+HasSpareRoom(const std::vector<RegionState>& aRegions)
+{
+  double slots = 0;
+  double demand = 0;
+  for (const RegionState& region : aRegions) {
+    slots += region.slots;
+    demand += region.demand;
+  }
+  return demand < kSpareUse * slots;
+}
+
 std::vector<RegionState>
 WithAssumedDemand(std::vector<RegionState> aRegions)
 {
--- a/src/policy/placing/waiting_line.cc
+++ b/src/policy/placing/waiting_line.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <utility>
 
 namespace plantainhaven::placing {
@@ -12,8 +13,10 @@
 // Time constant of the completions' moving average: some service times, short against a
 // burst.
 constexpr Seconds kRateTime{ 1.0 };
-// Rate taken as the least, so that the first requests of a service may wait.
+// Rates taken as the least, so that the first requests may wait: of a service, and of the
+// regions to which some of its requests are bound.
 constexpr double kLeastRate = 10.0;
+constexpr double kLeastBoundRate = 2.0;
 constexpr std::chrono::milliseconds kShortestRetryAfter{ 100 };
 // Overload lasts at least this much longer once a line stands.
 constexpr std::chrono::milliseconds kOverloadRetryAfter{ 500 };
@@ -40,27 +43,66 @@
   return std::pair(aLeft.arrivedAt, aLeft.id) < std::pair(aRight.arrivedAt, aRight.id);
 }
 
+// What waiters that may run in the same regions share.
+struct Group
+{
+  // Empty for all.
+  std::vector<std::string> regions;
+  std::size_t size = 0;
+  // Since when one of them has waited without a break.
+  BootTime standingSince{};
+  // Completions a second in these regions.
+  double rate = 0;
+  BootTime rateAt{};
+
+  bool IsBound() const { return !this->regions.empty(); }
+  bool Allows(const std::string& aRegion) const
+  {
+    return !this->IsBound() ||
+           std::find(this->regions.begin(), this->regions.end(), aRegion) != this->regions.end();
+  }
+  double RateAt(BootTime aNow) const
+  {
+    const double passed = std::max(0.0, Seconds(aNow - this->rateAt) / kRateTime);
+    const double least = this->IsBound() ? kLeastBoundRate : kLeastRate;
+    return std::max(least, this->rate * std::exp(-passed));
+  }
+  bool IsStanding(BootTime aNow) const
+  {
+    return this->size > 0 && aNow - this->standingSince > WaitingLine::kStanding;
+  }
+  // Whether a waiter of the other group takes what one of this group waits for.
+  bool CompetesWith(const Group& aOther) const { return !this->IsBound() || this == &aOther; }
+};
+
 } // namespace
 
 struct WaitingLine::Impl
 {
-  std::size_t Ahead(const Waiter& aWaiter, BootTime aNow) const;
+  Group& GroupOf(const Waiter& aWaiter);
+  std::size_t Ahead(const Waiter& aWaiter, BootTime aNow);
   std::vector<Waiter> Sorted(BootTime aNow) const;
-  bool IsStanding(BootTime aNow) const;
 
   std::vector<Waiter> waiters;
-  // Since when somebody has waited without a break.
-  BootTime standingSince{};
-  double rate = 0;
-  BootTime rateAt{};
+  std::map<std::vector<std::string>, Group> groups;
 };
 
+Group&
+WaitingLine::Impl::GroupOf(const Waiter& aWaiter)
+{
+  Group& group = this->groups[aWaiter.regions];
+  group.regions = aWaiter.regions;
+  return group;
+}
+
 std::size_t
-WaitingLine::Impl::Ahead(const Waiter& aWaiter, BootTime aNow) const
+WaitingLine::Impl::Ahead(const Waiter& aWaiter, BootTime aNow)
 {
+  const Group& own = this->GroupOf(aWaiter);
   return static_cast<std::size_t>(
     std::count_if(this->waiters.begin(), this->waiters.end(), [&](const Waiter& aOther) {
-      return aOther.id != aWaiter.id && GoesFirst(aOther, aWaiter, aNow);
+      return aOther.id != aWaiter.id && own.CompetesWith(this->GroupOf(aOther)) &&
+             GoesFirst(aOther, aWaiter, aNow);
     }));
 }
 
@@ -74,12 +116,6 @@
   return sorted;
 }
 
-bool
-WaitingLine::Impl::IsStanding(BootTime aNow) const
-{
-  return !this->waiters.empty() && aNow - this->standingSince > kStanding;
-}
-
 WaitingLine::WaitingLine()
   : impl(std::make_unique<Impl>())
 {
@@ -90,27 +126,23 @@
 WaitingLine&
 WaitingLine::operator=(WaitingLine&&) noexcept = default;
 
-double
-WaitingLine::Rate(BootTime aNow) const
-{
-  const double passed = std::max(0.0, Seconds(aNow - this->impl->rateAt) / kRateTime);
-  return std::max(kLeastRate, this->impl->rate * std::exp(-passed));
-}
-
 Admission
 WaitingLine::Join(const Waiter& aWaiter, BootTime aNow)
 {
-  const double rate = this->Rate(aNow);
+  Group& group = this->impl->GroupOf(aWaiter);
+  const double rate = group.RateAt(aNow);
   const auto ahead = static_cast<double>(this->impl->Ahead(aWaiter, aNow));
-  const auto size = static_cast<double>(this->impl->waiters.size());
+  const std::size_t competing = group.IsBound() ? group.size : this->impl->waiters.size();
+  const auto size = static_cast<double>(competing);
   const auto wait = TimeFor(ahead + 1, rate);
-  const bool isStanding = this->impl->IsStanding(aNow);
+  const bool isStanding = group.IsStanding(aNow);
   const bool meetsObjective = aNow + wait <= aWaiter.objectiveAt;
   const bool isInTime = aNow + TimeFor(size + 1, rate) <= aWaiter.latestStart;
   if (meetsObjective || (isInTime && !isStanding)) {
-    if (this->impl->waiters.empty()) {
-      this->impl->standingSince = aNow;
+    if (group.size == 0) {
+      group.standingSince = aNow;
     }
+    ++group.size;
     this->impl->waiters.push_back(aWaiter);
     return { .admitted = true };
   }
@@ -122,15 +154,25 @@
 void
 WaitingLine::Leave(std::uint64_t aId)
 {
-  std::erase_if(this->impl->waiters, [aId](const Waiter& aWaiter) { return aWaiter.id == aId; });
+  std::erase_if(this->impl->waiters, [this, aId](const Waiter& aWaiter) {
+    if (aWaiter.id == aId) {
+      --this->impl->GroupOf(aWaiter).size;
+    }
+    return aWaiter.id == aId;
+  });
 }
 
 void
-WaitingLine::OnCompletion(BootTime aNow)
+WaitingLine::OnCompletion(const std::string& aRegion, BootTime aNow)
 {
-  const double passed = std::max(0.0, Seconds(aNow - this->impl->rateAt) / kRateTime);
-  this->impl->rate = this->impl->rate * std::exp(-passed) + 1.0 / kRateTime.count();
-  this->impl->rateAt = aNow;
+  this->impl->GroupOf(Waiter());
+  for (auto& [regions, group] : this->impl->groups) {
+    if (group.Allows(aRegion)) {
+      const double passed = std::max(0.0, Seconds(aNow - group.rateAt) / kRateTime);
+      group.rate = group.rate * std::exp(-passed) + 1.0 / kRateTime.count();
+      group.rateAt = aNow;
+    }
+  }
 }
 
 std::vector<std::uint64_t>
@@ -147,15 +189,17 @@
 WaitingLine::Hopeless(BootTime aNow) const
 {
   std::vector<std::uint64_t> ids;
-  const double rate = this->Rate(aNow);
-  const bool isStanding = this->impl->IsStanding(aNow);
   double ahead = 0;
+  std::map<const Group*, double> aheadInGroup;
   for (const Waiter& waiter : this->impl->Sorted(aNow)) {
-    const bool isLate = isStanding && aNow > waiter.objectiveAt;
-    if (isLate || aNow + TimeFor(ahead, rate) > waiter.latestStart) {
+    const Group& group = this->impl->GroupOf(waiter);
+    const double before = group.IsBound() ? aheadInGroup[&group] : ahead;
+    const bool isLate = group.IsStanding(aNow) && aNow > waiter.objectiveAt;
+    if (isLate || aNow + TimeFor(before, group.RateAt(aNow)) > waiter.latestStart) {
       ids.push_back(waiter.id);
     } else {
       ahead += 1;
+      aheadInGroup[&group] += 1;
     }
   }
   return ids;
--- a/test/policy/placing/placement_test.cc
+++ b/test/policy/placing/placement_test.cc
@@ -108,6 +108,57 @@
   CHECK(north <= (0.25 + 0.15) * (200 - waiting));
 }
 
+// On a calm day the small region's requests waited for it while others stood idle; under
+// overload the same overflow made every region's servers forget their objects.
+TEST_CASE("What finds its region full runs elsewhere only while there is room to spare")
+{
+  struct Case
+  {
+    bool hasSpareRoom;
+    PlacingState expected;
+  };
+  const Case cases[] = { { true, PlacingState::kSend }, { false, PlacingState::kBusy } };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.hasSpareRoom);
+    Placement placement("vm-1", "north");
+    placement.SetServers(
+      { MakeServer("n0", "north", "north-a"), MakeServer("s0", "south", "south-a") },
+      At(milliseconds(0)));
+    placement.SetPlan("portal", { { "north", 0.5 }, { "south", 0.5 } });
+    placement.SetSpareRoom("portal", entry.hasSpareRoom);
+    std::uint64_t northern = 0;
+    std::uint64_t southern = 0;
+    for (std::uint64_t object = 0; object < 50; ++object) {
+      const Placing placing = placement.Choose(MakeRequest(object), At(milliseconds(1)));
+      (placing.server->region == "north" ? northern : southern) = object;
+    }
+    for (int i = 0; i < 200; ++i) {
+      const BootTime now = At(milliseconds(10 * i));
+      const std::string id = i % 2 == 0 ? "n0" : "s0";
+      placement.OnSent(id, now);
+      placement.OnEnded(id, SendOutcome::kServed, milliseconds(5), now);
+    }
+    const BootTime now = At(milliseconds(2000));
+    for (int i = 0; i < 3; ++i) {
+      placement.OnSent("n0", now);
+    }
+    const Placing placing = placement.Choose(MakeRequest(northern), now);
+    CHECK(placing.state == entry.expected);
+    CHECK(placement.Choose(MakeRequest(southern), now).state == PlacingState::kSend);
+    // However much room there is, the mix of regions moves slowly.
+    int elsewhere = 0;
+    for (int i = 0; i < 30; ++i) {
+      const Placing next = placement.Choose(MakeRequest(northern), now + milliseconds(10 * i));
+      if (next.state == PlacingState::kSend) {
+        placement.OnSent("s0", now + milliseconds(10 * i));
+        placement.OnEnded("s0", SendOutcome::kServed, milliseconds(5), now + milliseconds(10 * i));
+        ++elsewhere;
+      }
+    }
+    CHECK(elsewhere < 15);
+  }
+}
+
 // With 30 VMs in a region each VM sees a server's load every few seconds; without the
 // others' reports it sent to full servers.
 TEST_CASE("A server that other VMs have seen full gets nothing until the report fades")
--- a/test/policy/placing/waiting_line_test.cc
+++ b/test/policy/placing/waiting_line_test.cc
@@ -15,7 +15,38 @@
            .priority = aPriority,
            .arrivedAt = At(aArrival),
            .objectiveAt = At(aObjective),
-           .latestStart = At(std::chrono::seconds(10)) };
+           .latestStart = At(std::chrono::seconds(10)),
+           .regions = {} };
+}
+
+// A hot account's requests were bound to the smallest region; their wait was reckoned by the
+// completions of all regions, so that they waited in vain.
+TEST_CASE("What is bound to a region waits by the completions there")
+{
+  WaitingLine line;
+  const BootTime now = At(milliseconds(0));
+  Waiter bound = MakeWaiter(0, 1, milliseconds(0), milliseconds(0));
+  bound.latestStart = now + milliseconds(500);
+  bound.regions = { "north" };
+  // The group is known from its first waiter on.
+  line.Join(bound, now);
+  line.Leave(0);
+  for (int i = 0; i < 100; ++i) {
+    line.OnCompletion(i % 10 == 0 ? "north" : "south", now);
+  }
+  Waiter free = bound;
+  free.regions = {};
+  int admittedBound = 0;
+  int admittedFree = 0;
+  for (std::uint64_t id = 1; id <= 100; ++id) {
+    bound.id = id;
+    free.id = 1000 + id;
+    admittedBound += line.Join(bound, now).admitted ? 1 : 0;
+    admittedFree += line.Join(free, now).admitted ? 1 : 0;
+  }
+  CHECK(admittedBound == 5);
+  CHECK(admittedFree == 45);
+  CHECK(line.Size() == 50);
 }
 
 TEST_CASE("Room goes to the urgent first, then to those that still meet their objective")
@@ -34,7 +65,7 @@
   WaitingLine line;
   const BootTime now = At(milliseconds(0));
   for (int i = 0; i < 100; ++i) {
-    line.OnCompletion(now);
+    line.OnCompletion("north", now);
   }
   Waiter waiter = MakeWaiter(0, 1, milliseconds(0), milliseconds(0));
   waiter.latestStart = now + milliseconds(500);
@@ -77,7 +108,7 @@
   WaitingLine line;
   const BootTime now = At(milliseconds(0));
   for (int i = 0; i < 10; ++i) {
-    line.OnCompletion(now);
+    line.OnCompletion("north", now);
   }
   Waiter late = MakeWaiter(1, 2, milliseconds(0), milliseconds(0));
   late.latestStart = now + milliseconds(200);
