--- a/src/policy/placing/region_mix.cc
+++ b/src/policy/placing/region_mix.cc
@@ -5,7 +5,7 @@
 namespace plantainhaven::placing {
 namespace {
 
-// Requests are counted together for this long, a small part of the slice.
+// Requests are counted together for this long, a small part of the window.
 constexpr std::chrono::milliseconds kBucket{ 50 };
 // The sums are kept for this long; meanwhile a bucket may count on the wrong side.
 constexpr std::chrono::milliseconds kSumsHold{ 20 };
@@ -29,13 +29,13 @@
     return;
   }
   this->advancedAt = aNow;
-  this->slice.clear();
-  this->window.clear();
-  while (!this->buckets.empty() && aNow - this->buckets.front().start >= kWindow + kSlice) {
+  this->newest.clear();
+  this->before.clear();
+  while (!this->buckets.empty() && aNow - this->buckets.front().start >= 2 * kWindow) {
     this->buckets.pop_front();
   }
   for (const Bucket& bucket : this->buckets) {
-    auto& sums = aNow - bucket.start < kSlice ? this->slice : this->window;
+    auto& sums = aNow - bucket.start < kWindow ? this->newest : this->before;
     for (const auto& [region, count] : bucket.counts) {
       sums[region] += count;
     }
@@ -49,25 +49,25 @@
     this->buckets.push_back({ aNow, {} });
   }
   this->buckets.back().counts[aRegion] += 1;
-  this->slice[aRegion] += 1;
+  this->newest[aRegion] += 1;
 }
 
 std::optional<double>
 RegionMix::MovedWith(const std::string& aRegion, BootTime aNow)
 {
   this->Advance(aNow);
-  const double inSlice = SumOf(this->slice) + 1;
-  const double inWindow = SumOf(this->window);
-  if (inSlice < kLeastInSlice || inWindow < kLeastInWindow) {
+  const double inNewest = SumOf(this->newest) + 1;
+  const double inBefore = SumOf(this->before);
+  if (inNewest < kLeastCount || inBefore < kLeastCount) {
     return std::nullopt;
   }
   double moved = 0;
-  std::map<std::string, double> next = this->slice;
+  std::map<std::string, double> next = this->newest;
   next[aRegion] += 1;
   for (const auto& [region, count] : next) {
-    const auto was = this->window.find(region);
-    const double share = was == this->window.end() ? 0 : was->second / inWindow;
-    moved += std::max(0.0, count / inSlice - share);
+    const auto was = this->before.find(region);
+    const double share = was == this->before.end() ? 0 : was->second / inBefore;
+    moved += std::max(0.0, count / inNewest - share);
   }
   return moved;
 }
