Take over changed settings and show what a VM believes

A running daemon kept the settings of its start; the file may change with SIGHUP or without.

GET /state on the metrics address, and `plantainctl beliefs`, show readiness, configuration, peers, ranges of limits, splits, lines, and for each backend server its load and why it gets nothing.

--- a/include/plantainhaven/common/log.h
+++ b/include/plantainhaven/common/log.h
@@ -39,6 +39,10 @@
 void
 StartLog(std::string_view aProgram, std::string_view aLevel);
 
+// Changes the least level that is written.
+void
+SetLogLevel(std::string_view aLevel);
+
 // Writes what still waits and ends the log; called at the end of the process too.
 void
 StopLog();
--- a/include/plantainhaven/common/program.h
+++ b/include/plantainhaven/common/program.h
@@ -25,6 +25,10 @@
   static void Wait();
 };
 
+// The file from which RunDaemon() read the settings; empty before.
+const std::string&
+SettingsFileName();
+
 // The common frame of a daemon's main: --help, --version, --config FILE, --check.
 // Reads and checks the settings into `aSettings`, starts the log and calls `aRun`,
 // whose return value becomes the exit status. With --check it stops after the
--- a/include/plantainhaven/policy/placing/placement.h
+++ b/include/plantainhaven/policy/placing/placement.h
@@ -66,6 +66,18 @@
   std::string region;
 };
 
+// What is believed of a backend server.
+struct ServerBelief
+{
+  std::string id;
+  std::string service;
+  std::string region;
+  // "ready", or why it gets nothing or less.
+  const char* state = "ready";
+  double load = 0;
+  double slots = 0;
+};
+
 // Chooses backend servers. Requests for the same object meet the same few servers from
 // every VM of a region, so that these know it; the next ones in the object's order follow
 // when the first are full. Servers that fail or are slow get less, cold ones only what they
@@ -109,6 +121,7 @@
   // Mean time of a response of the service; zero while none came.
   std::chrono::milliseconds UsualTime(std::string_view aService) const;
   std::size_t ServerCount() const;
+  std::vector<ServerBelief> Beliefs(BootTime aNow) const;
   // Whether a server is known and may get requests.
   bool MayUse(const std::string& aServer, BootTime aNow) const;
 
--- a/include/plantainhaven/policy/placing/retry_allowance.h
+++ b/include/plantainhaven/policy/placing/retry_allowance.h
@@ -31,6 +31,7 @@
   {
   }
 
+  void SetRatio(double aRatio) { this->ratio = aRatio; }
   // Bounds what may be kept from now on.
   void SetStock(double aStock)
   {
--- a/src/common/log.cc
+++ b/src/common/log.cc
@@ -58,7 +58,7 @@
 struct Settings
 {
   std::string program = "plantainhaven";
-  LogLevel least = LogLevel::kInfo;
+  std::atomic<LogLevel> least = LogLevel::kInfo;
 };
 
 Settings&
@@ -226,11 +226,17 @@
 StartLog(std::string_view aProgram, std::string_view aLevel)
 {
   CurrentSettings().program = aProgram;
-  CurrentSettings().least = LevelFromWord(aLevel);
+  SetLogLevel(aLevel);
   static std::once_flag sOnce;
   std::call_once(sOnce, AddSink);
 }
 
+void
+SetLogLevel(std::string_view aLevel)
+{
+  CurrentSettings().least = LevelFromWord(aLevel);
+}
+
 void
 StopLog()
 {
--- a/src/common/program.cc
+++ b/src/common/program.cc
@@ -85,6 +85,13 @@
   return level == nullptr ? "info" : section.GetReflection()->GetString(section, level);
 }
 
+std::string&
+SharedFileName()
+{
+  static std::string sFileName;
+  return sFileName;
+}
+
 int
 RunConfigured(const std::string& aName,
               const options::variables_map& aGiven,
@@ -102,12 +109,19 @@
     std::cout << "settings: ok\n";
     return kExitOk;
   }
+  SharedFileName() = aGiven["config"].as<std::string>();
   StartLog(aName, LogLevelOf(aSettings));
   return aRun();
 }
 
 } // namespace
 
+const std::string&
+SettingsFileName()
+{
+  return SharedFileName();
+}
+
 void
 StopSignal::Install()
 {
--- a/src/edge/dispatcher.cc
+++ b/src/edge/dispatcher.cc
@@ -59,6 +59,15 @@
   this->placement.SetServices(this->routing->services);
 }
 
+void
+Dispatcher::SetOptions(DispatcherOptions aOptions)
+{
+  this->options = std::move(aOptions);
+  for (auto& [name, state] : this->services) {
+    state.retries.SetRatio(this->options.retryRatio);
+  }
+}
+
 void
 Dispatcher::SetServers(const std::vector<BackendServer>& aServers, BootTime aReadAt)
 {
@@ -348,6 +357,24 @@
   return this->placement.UsualTime(aService);
 }
 
+void
+Dispatcher::Describe(std::ostream& aInto) const
+{
+  for (const auto& [name, state] : this->services) {
+    aInto << "service name=" << name << " in_flight=" << state.inFlight
+          << " waiting=" << state.line.Size();
+    for (const RegionShare& share : state.plan) {
+      aInto << " to_" << share.region << "=" << share.part;
+    }
+    aInto << "\n";
+  }
+  for (const placing::ServerBelief& server : this->placement.Beliefs(BootClock::Now())) {
+    aInto << "server id=" << server.id << " service=" << server.service
+          << " region=" << server.region << " state=" << server.state << " load=" << server.load
+          << " slots=" << server.slots << "\n";
+  }
+}
+
 bool
 Dispatcher::MayUse(const std::string& aServer) const
 {
--- a/src/edge/dispatcher.h
+++ b/src/edge/dispatcher.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <ostream>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -71,6 +72,8 @@
   Dispatcher(asio::io_context& aContext, DispatcherOptions aOptions, Metrics& aMetrics);
 
   void SetRouting(RoutingPtr aRouting);
+  // Takes over limits that have changed; the VM stays the same.
+  void SetOptions(DispatcherOptions aOptions);
   void SetServers(const std::vector<BackendServer>& aServers, BootTime aReadAt);
   void SetAvoidedDomains(const std::vector<std::string>& aDomains);
   void SetPeers(std::vector<PlacingPeer> aPeers);
@@ -104,6 +107,8 @@
   // Time that a request of the service usually takes.
   std::chrono::milliseconds UsualTime(const std::string& aService) const;
   bool MayUse(const std::string& aServer) const;
+  // Servers, splits and lines, one key=value line each.
+  void Describe(std::ostream& aInto) const;
 
 private:
   struct Waiting
--- a/src/edge/edge_program.cc
+++ b/src/edge/edge_program.cc
@@ -3,6 +3,7 @@
 #include "edge/context.h"
 #include "edge/fleet.h"
 #include "edge/net.h"
+#include "edge/settings_watch.h"
 #include "edge/simple_server.h"
 #include "edge/store_follower.h"
 #include "edge/traffic.h"
@@ -10,8 +11,6 @@
 #include "plantainhaven/common/metrics.h"
 #include "plantainhaven/common/program.h"
 #include "plantainhaven/common/settings.h"
-#include "platform/bounds.h"
-#include "platform/decode.h"
 #include "platform/names.h"
 #include "platform/store_client.h"
 
@@ -30,6 +29,8 @@
 
 // Servers that are kept for a time go at most this much later.
 constexpr std::chrono::milliseconds kPublishInterval{ 100 };
+// The settings file may change without a signal.
+constexpr std::chrono::milliseconds kSettingsInterval{ 5000 };
 
 std::chrono::milliseconds
 Ms(const google::protobuf::Duration& aTime)
@@ -42,9 +43,7 @@
 class Edge
 {
 public:
-  Edge(const EdgedSettings& aSettings,
-       const platform::Bounds& aBounds,
-       const platform::RegionByDomain& aRegions);
+  Edge(const EdgedSettings& aSettings, const ChangedSettings& aDecoded);
   // Runs until a stop is done.
   void Run();
 
@@ -65,11 +64,16 @@
   NewsLink MakeNewsLink();
   void OnNews(const std::string& aFrom, const TableNews& aNews);
   Task<void> PublishServers();
+  Task<void> WatchSettings();
+  void TakeSettings();
+  SimpleAnswer AnswerOperator(const SimpleRequest& aRequest) const;
   void AwaitSignal();
   void OnSignal(int aSignal);
   void RunContext(asio::io_context& aContext, const char* aThread);
 
   const EdgedSettings& settings;
+  SettingsWatch watch;
+  platform::RegionByDomain regions;
   Metrics metrics;
   Context controlContext;
   Context trafficContext;
@@ -86,10 +90,10 @@
   Traffic traffic;
 };
 
-Edge::Edge(const EdgedSettings& aSettings,
-           const platform::Bounds& aBounds,
-           const platform::RegionByDomain& aRegions)
+Edge::Edge(const EdgedSettings& aSettings, const ChangedSettings& aDecoded)
   : settings(aSettings)
+  , watch(SettingsFileName(), aSettings)
+  , regions(aDecoded.regions)
   , signals(controlContext, SIGTERM, SIGINT, SIGHUP)
   , operatorClient(this->MakeClient())
   , serverClient(this->MakeClient())
@@ -97,7 +101,7 @@
   , listener(this->MakeStoreListener())
   , operatorRows(this->listener)
   , serverRows(this->listener,
-               aRegions,
+               this->regions,
                [this] { return this->fleet.HasStoreContact(placing::ServerRegistry::kReturnTime); })
   , operatorFollower(this->controlContext,
                      *this->operatorClient,
@@ -123,7 +127,7 @@
   , traffic(
       this->trafficContext,
       aSettings,
-      aBounds,
+      aDecoded.bounds,
       this->metrics,
       [this](const std::string& aEndpoint, Envelope aMessage) {
         this->OnControl([this, aEndpoint, message = std::move(aMessage)]() mutable {
@@ -236,6 +240,42 @@
   }
 }
 
+Task<void>
+Edge::WatchSettings()
+{
+  asio::steady_timer timer(this->controlContext);
+  while (true) {
+    co_await Sleep(timer, kSettingsInterval);
+    this->TakeSettings();
+  }
+}
+
+void
+Edge::TakeSettings()
+{
+  const std::optional<ChangedSettings> changed = this->watch.Look();
+  if (!changed) {
+    return;
+  }
+  SetLogLevel(changed->logLevel);
+  this->regions = changed->regions;
+  for (const auto& client : { &this->operatorClient, &this->serverClient, &this->fleetClient }) {
+    (*client)->SetAddress(changed->storeAddress);
+  }
+  this->OnTraffic([this, bounds = changed->bounds] { this->traffic.SetBounds(bounds); });
+}
+
+SimpleAnswer
+Edge::AnswerOperator(const SimpleRequest& aRequest) const
+{
+  if (aRequest.target() == "/state") {
+    return { .status = 200, .contentType = "text/plain", .body = this->traffic.Beliefs() };
+  }
+  return { .status = 200,
+           .contentType = "text/plain; version=0.0.4",
+           .body = this->metrics.Text() };
+}
+
 void
 Edge::AwaitSignal()
 {
@@ -251,7 +291,8 @@
 Edge::OnSignal(int aSignal)
 {
   if (aSignal == SIGHUP) {
-    Log(LogLevel::kInfo, "reload", { { "note", "settings of a running process stay in force" } });
+    Log(LogLevel::kInfo, "reload", { { "file", SettingsFileName() } });
+    this->TakeSettings();
     return;
   }
   this->OnTraffic([this] {
@@ -286,14 +327,14 @@
   }
   const Tcp::endpoint metricsAt(asio::ip::make_address(this->settings.vm().address()),
                                 static_cast<unsigned short>(this->settings.listen().metrics()));
-  ServeSimple(this->controlContext, metricsAt, [this](const SimpleRequest&) {
-    return SimpleAnswer{ .status = 200,
-                         .contentType = "text/plain; version=0.0.4",
-                         .body = this->metrics.Text() };
+  // On the traffic thread, whose beliefs it shows.
+  ServeSimple(this->trafficContext, metricsAt, [this](const SimpleRequest& aRequest) {
+    return this->AnswerOperator(aRequest);
   });
   asio::co_spawn(this->controlContext, this->operatorFollower.Run(), asio::detached);
   asio::co_spawn(this->controlContext, this->serverFollower.Run(), asio::detached);
   asio::co_spawn(this->controlContext, this->PublishServers(), asio::detached);
+  asio::co_spawn(this->controlContext, this->WatchSettings(), asio::detached);
   std::thread trafficThread([this] { this->RunContext(this->trafficContext, "traffic"); });
   this->RunContext(this->controlContext, "control");
   trafficThread.join();
@@ -308,22 +349,17 @@
 RunEdge(const EdgedSettings& aSettings)
 {
   std::signal(SIGPIPE, SIG_IGN);
-  const auto bounds = platform::ReadBounds(
-    { aSettings.bounds().values().begin(), aSettings.bounds().values().end() });
-  const auto regions = platform::ReadPlaces(
-    { aSettings.places().failure_domains().begin(), aSettings.places().failure_domains().end() });
-  for (const Error* const error : { std::get_if<Error>(&bounds), std::get_if<Error>(&regions) }) {
-    if (error != nullptr) {
-      Log(
-        LogLevel::kError, "settings", { { "error", error->message }, { "remedy", error->remedy } });
-      return kExitUsage;
-    }
+  const auto decoded = edge::DecodeSettings(aSettings);
+  if (!IsOk(decoded)) {
+    const Error& error = ErrorOf(decoded);
+    Log(LogLevel::kError, "settings", { { "error", error.message }, { "remedy", error.remedy } });
+    return kExitUsage;
   }
   Log(LogLevel::kInfo,
       "start",
       { { "vm", aSettings.vm().name() }, { "failure_domain", aSettings.vm().failure_domain() } });
   try {
-    edge::Edge daemon(aSettings, ValueOf(bounds), ValueOf(regions));
+    edge::Edge daemon(aSettings, ValueOf(decoded));
     daemon.Run();
   } catch (const std::exception& fault) {
     Log(LogLevel::kError, "failed", { { "error", fault.what() } });
--- /dev/null
+++ b/src/edge/settings_watch.cc
@@ -0,0 +1,95 @@
+#include "edge/settings_watch.h"
+
+#include "plantainhaven/common/log.h"
+#include "plantainhaven/common/settings.h"
+
+#include <fstream>
+#include <google/protobuf/util/message_differencer.h>
+#include <sstream>
+#include <utility>
+
+namespace plantainhaven::edge {
+namespace {
+
+using google::protobuf::util::MessageDifferencer;
+
+std::string
+TextOf(const std::string& aFile)
+{
+  std::ifstream input(aFile);
+  std::ostringstream text;
+  text << input.rdbuf();
+  return text.str();
+}
+
+void
+LogUnusable(const std::string& aFile, const Error& aError)
+{
+  Log(LogLevel::kError,
+      "settings_unusable",
+      { { "file", aFile },
+        { "error", aError.message },
+        { "remedy", aError.remedy },
+        { "note", "the settings in force stay" } });
+}
+
+} // namespace
+
+Result<ChangedSettings>
+DecodeSettings(const EdgedSettings& aSettings)
+{
+  const auto bounds = platform::ReadBounds(
+    { aSettings.bounds().values().begin(), aSettings.bounds().values().end() });
+  if (!IsOk(bounds)) {
+    return ErrorOf(bounds);
+  }
+  const auto regions = platform::ReadPlaces(
+    { aSettings.places().failure_domains().begin(), aSettings.places().failure_domains().end() });
+  if (!IsOk(regions)) {
+    return ErrorOf(regions);
+  }
+  return ChangedSettings{
+    ValueOf(bounds), ValueOf(regions), aSettings.store().address(), aSettings.log().level()
+  };
+}
+
+SettingsWatch::SettingsWatch(std::string aFile, EdgedSettings aCurrent)
+  : file(std::move(aFile))
+  , text(TextOf(this->file))
+  , current(std::move(aCurrent))
+{
+}
+
+std::optional<ChangedSettings>
+SettingsWatch::Look()
+{
+  std::string found = TextOf(this->file);
+  if (found == this->text) {
+    return std::nullopt;
+  }
+  this->text = std::move(found);
+  EdgedSettings settings;
+  std::istringstream input(this->text);
+  const auto read = ReadSettings(input, this->file, settings);
+  if (!IsOk(read)) {
+    LogUnusable(this->file, ErrorOf(read));
+    return std::nullopt;
+  }
+  auto decoded = DecodeSettings(settings);
+  if (!IsOk(decoded)) {
+    LogUnusable(this->file, ErrorOf(decoded));
+    return std::nullopt;
+  }
+  const bool needsRestart = !MessageDifferencer::Equals(settings.vm(), this->current.vm()) ||
+                            !MessageDifferencer::Equals(settings.listen(), this->current.listen());
+  Log(LogLevel::kInfo, "settings_changed", { { "file", this->file } });
+  if (needsRestart) {
+    Log(LogLevel::kWarning,
+        "settings_need_restart",
+        { { "sections", "vm, listen" }, { "remedy", "Restart the process to take them over." } });
+  }
+  this->current = std::move(settings);
+  return ValueOf(decoded);
+}
+
+} // namespace plantainhaven::edge
--- a/src/edge/traffic.cc
+++ b/src/edge/traffic.cc
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <set>
+#include <sstream>
 #include <utility>
 
 namespace plantainhaven::edge {
@@ -170,6 +171,33 @@
   this->dispatcher.SetRouting(std::move(aRouting));
 }
 
+void
+Traffic::SetBounds(const platform::Bounds& aBounds)
+{
+  this->bounds = aBounds;
+  this->dispatcher.SetOptions(OptionsOf(this->settings, aBounds));
+}
+
+std::string
+Traffic::Beliefs() const
+{
+  std::ostringstream text;
+  const RoutingPtr& routing = this->dispatcher.CurrentRouting();
+  text << "vm name=" << this->settings.vm().name() << " ready=" << this->IsReady()
+       << " stopping=" << this->state.isStopping << " open_requests=" << this->state.openRequests
+       << "\n";
+  text << "configuration version=" << (routing == nullptr ? 0 : routing->version) << "\n";
+  for (const PlacingPeer& sender : this->fleet.senders) {
+    text << "peer name=" << sender.name << " region=" << sender.region << "\n";
+  }
+  for (const QuotaHolder& holder : this->fleet.holders) {
+    text << "quota holder=" << holder.endpoint << " begin=" << holder.range.begin
+         << " end=" << holder.range.end << "\n";
+  }
+  this->dispatcher.Describe(text);
+  return text.str();
+}
+
 void
 Traffic::SetServers(const std::vector<BackendServer>& aServers, BootTime aReadAt)
 {
--- a/src/edge/traffic.h
+++ b/src/edge/traffic.h
@@ -54,6 +54,9 @@
   void BeginStop(std::function<void()> aOnStopped);
 
   void SetRouting(RoutingPtr aRouting);
+  void SetBounds(const platform::Bounds& aBounds);
+  // What this VM believes, one key=value line each, for operators.
+  std::string Beliefs() const;
   void SetServers(const std::vector<BackendServer>& aServers, BootTime aReadAt);
   void SetAvoidedDomains(const std::vector<std::string>& aDomains);
   void SetFleet(FleetView aFleet);
--- a/src/policy/placing/placement.cc
+++ b/src/policy/placing/placement.cc
@@ -81,6 +81,21 @@
   bool operator<(const Ranked& aOther) const { return this->rank < aOther.rank; }
 };
 
+const char*
+StateOf(const ServerRecord& aRecord, BootTime aNow)
+{
+  if (aRecord.Entry().isDraining) {
+    return "draining";
+  }
+  if (aRecord.IsAvoided()) {
+    return "domain_emptied";
+  }
+  if (aRecord.IsEjected(aNow)) {
+    return "failing";
+  }
+  return aRecord.IsCold(aNow) ? "cold" : "ready";
+}
+
 struct Sender
 {
   PlacingPeer peer;
@@ -574,6 +589,23 @@
   return this->impl->servers.size();
 }
 
+std::vector<ServerBelief>
+Placement::Beliefs(BootTime aNow) const
+{
+  std::vector<ServerBelief> beliefs;
+  for (const auto& [id, record] : this->impl->servers) {
+    const BackendServer& entry = record.Entry();
+    const double usual = this->impl->UsualTime(entry.service);
+    beliefs.push_back({ id,
+                        entry.service,
+                        entry.region,
+                        StateOf(record, aNow),
+                        record.LoadAt(usual, aNow),
+                        record.UsableSlots(usual) });
+  }
+  return beliefs;
+}
+
 bool
 Placement::MayUse(const std::string& aServer, BootTime aNow) const
 {
--- a/src/programs/plantainctl/commands.cc
+++ b/src/programs/plantainctl/commands.cc
@@ -43,7 +43,8 @@
     return UsageError(std::to_string(count) + " arguments, expected: " + aCommand.name + ' ' +
                       aCommand.arguments);
   }
-  if (aCommand.run != ShowMetrics && aSession.options.client.token.empty()) {
+  const bool needsToken = aCommand.run != ShowMetrics && aCommand.run != ShowBeliefs;
+  if (needsToken && aSession.options.client.token.empty()) {
     PrintError(
       { ErrorKind::kInvalid, "no token given", "give it with --token or PLANTAINCTL_TOKEN" });
     return ExitCode::kUsage;
@@ -74,6 +75,7 @@
       ShiftTraffic },
     { "status", "", 0, 0, "show the fleet as one VM sees it", ShowStatus },
     { "metrics", "", 0, 0, "show the metrics of one VM's plantain-controld", ShowMetrics },
+    { "beliefs", "", 0, 0, "show what one VM's plantain-edged believes", ShowBeliefs },
   };
   return kCommands;
 }
--- a/src/programs/plantainctl/commands.h
+++ b/src/programs/plantainctl/commands.h
@@ -43,6 +43,8 @@
 ExitCode
 ShowMetrics(Session& aSession);
 ExitCode
+ShowBeliefs(Session& aSession);
+ExitCode
 ApplyFiles(Session& aSession);
 ExitCode
 DeleteResource(Session& aSession);
--- a/src/programs/plantainctl/read_commands.cc
+++ b/src/programs/plantainctl/read_commands.cc
@@ -67,4 +67,14 @@
   return exit;
 }
 
+ExitCode
+ShowBeliefs(Session& aSession)
+{
+  ExitCode exit = ExitCode::kFailure;
+  if (const std::optional<HttpResponse> response = Fetch(aSession, "/state", exit)) {
+    std::cout << response->body;
+  }
+  return exit;
+}
+
 } // namespace plantainhaven::ctl
