--- a/src/programs/plantain-soak/soak.cc
+++ b/src/programs/plantain-soak/soak.cc
@@ -1,5 +1,6 @@
 #include "soak.h"
 
+#include "plantainhaven/standin/free_port.h"
 #include "platform/names.h"
 
 #include <csignal>
@@ -132,7 +133,7 @@
   const int port = std::stoi(address.substr(address.rfind(':') + 1));
   auto link = std::make_unique<FaultProxy>(this->context, static_cast<std::uint16_t>(port));
   vm.store = link->Port();
-  vm.ports = { AnyFreePort(), AnyFreePort(), AnyFreePort(), AnyFreePort(), AnyFreePort() };
+  vm.ports = { FreePort(), FreePort(), FreePort(), FreePort(), FreePort() };
   this->vms.push_back({ std::move(link), std::make_unique<VmProcess>(std::move(vm)), {}, {} });
 }
 
--- a/src/programs/plantain-soak/vm_process.cc
+++ b/src/programs/plantain-soak/vm_process.cc
@@ -1,13 +1,10 @@
 #include "vm_process.h"
 
 #include <array>
-#include <cerrno>
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
-#include <netinet/in.h>
 #include <spawn.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <system_error>
 #include <unistd.h>
@@ -87,22 +84,4 @@
   return this->id == 0;
 }
 
-std::uint16_t
-AnyFreePort()
-{
-  const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  auto* const generic = reinterpret_cast<sockaddr*>(&address);
-  const bool isFound =
-    ::bind(descriptor, generic, size) == 0 && ::getsockname(descriptor, generic, &size) == 0;
-  ::close(descriptor);
-  if (!isFound) {
-    throw std::system_error(errno, std::generic_category(), "no free port on loopback");
-  }
-  return ntohs(address.sin_port);
-}
-
 } // namespace plantainhaven::soak
--- a/src/programs/plantain-soak/vm_process.h
+++ b/src/programs/plantain-soak/vm_process.h
@@ -56,8 +56,4 @@
   int status = 0;
 };
 
-// A port of the loopback interface that nobody listens on.
-std::uint16_t
-AnyFreePort();
-
 } // namespace plantainhaven::soak
--- a/test/platform/free_port.h
+++ b/src/standin/free_port.cc
@@ -1,17 +1,14 @@
-#pragma once
+#include "plantainhaven/standin/free_port.h"
 
-#include <cstdint>
-#include <stdexcept>
-
-#include <arpa/inet.h>
+#include <cerrno>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <system_error>
 #include <unistd.h>
 
 namespace plantainhaven {
 
-// A TCP port on loopback that was free just now.
-inline std::uint16_t
+std::uint16_t
 FreePort()
 {
   const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
@@ -19,12 +16,13 @@
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t size = sizeof(address);
-  auto* generic = reinterpret_cast<sockaddr*>(&address);
-  const bool found =
+  auto* const generic = reinterpret_cast<sockaddr*>(&address);
+  const bool isFound =
     ::bind(descriptor, generic, size) == 0 && ::getsockname(descriptor, generic, &size) == 0;
+  const int fault = errno;
   ::close(descriptor);
-  if (!found) {
-    throw std::runtime_error("no free port on loopback");
+  if (!isFound) {
+    throw std::system_error(fault, std::generic_category(), "no free port on loopback");
   }
   return ntohs(address.sin_port);
 }
--- a/test/edge/one_vm.h
+++ b/test/edge/one_vm.h
@@ -3,7 +3,7 @@
 #include "edge/context.h"
 #include "edge/fake_server.h"
 #include "edge/traffic.h"
-#include "platform/free_port.h"
+#include "plantainhaven/standin/free_port.h"
 #include "platform/names.h"
 
 #include <atomic>
--- a/test/entry/request_fixture.h
+++ b/test/entry/request_fixture.h
@@ -3,7 +3,7 @@
 #include "plantainhaven/entry/request_handler.h"
 #include "plantainhaven/platform/backend_standin.h"
 #include "plantainhaven/platform/memory_platform.h"
-#include "platform/free_port.h"
+#include "plantainhaven/standin/free_port.h"
 #include "policy/request/request_config.h"
 
 #include <map>
--- a/test/platform/backend_standin_test.cc
+++ b/test/platform/backend_standin_test.cc
@@ -1,9 +1,9 @@
 #include "plantainhaven/platform/backend_standin.h"
 
 #include "plantainhaven/http/client.h"
+#include "plantainhaven/standin/free_port.h"
 #include "platform/backend_work.h"
 #include "platform/execution_log.h"
-#include "platform/free_port.h"
 #include "platform/json.h"
 
 #include <future>
--- a/test/platform/connection_pool_test.cc
+++ b/test/platform/connection_pool_test.cc
@@ -1,7 +1,7 @@
 #include "platform/connection_pool.h"
 
 #include "plantainhaven/http/server.h"
-#include "platform/free_port.h"
+#include "plantainhaven/standin/free_port.h"
 
 #include <catch2/catch.hpp>
 
--- a/test/platform/platform_subject.h
+++ b/test/platform/platform_subject.h
@@ -3,7 +3,7 @@
 #include "plantainhaven/platform/http_platform.h"
 #include "plantainhaven/platform/memory_platform.h"
 #include "plantainhaven/platform/platform_server.h"
-#include "platform/free_port.h"
+#include "plantainhaven/standin/free_port.h"
 
 #include <chrono>
 #include <memory>
