--- a/include/plantainhaven/standin/store_rows.h
+++ b/include/plantainhaven/standin/store_rows.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -18,7 +18,11 @@
   std::string part;
   std::string key;
 
-  auto operator<=>(const RowPlace&) const = default;
+  bool operator<(const RowPlace& aOther) const
+  {
+    return std::tie(this->table, this->part, this->key) <
+           std::tie(aOther.table, aOther.part, aOther.key);
+  }
 };
 
 struct StoredRow
--- a/src/common/log.cc
+++ b/src/common/log.cc
@@ -38,6 +38,8 @@
 // never holds a request.
 struct CountDropped
 {
+  // Boost.Log calls these names.
+  // NOLINTBEGIN(readability-identifier-naming)
   template<typename Lock>
   static bool on_overflow(const log::record_view&, Lock&)
   {
@@ -46,6 +48,7 @@
   }
   static void on_queue_space_available() {}
   static void interrupt() {}
+  // NOLINTEND(readability-identifier-naming)
 };
 
 using Queue = log::sinks::bounded_fifo_queue<kQueuedLines, CountDropped>;
--- a/src/policy/placing/quota_parts.cc
+++ b/src/policy/placing/quota_parts.cc
@@ -47,6 +47,7 @@
   const double step = kWholeQuota / count;
   const auto first = static_cast<double>(StableHash(aAccount) % kWholeQuota);
   std::vector<std::uint32_t> positions;
+  positions.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < static_cast<int>(count); ++i) {
     positions.push_back(static_cast<std::uint32_t>(first + i * step) % kWholeQuota);
   }
--- a/src/programs/plantain-soak/vm_process.cc
+++ b/src/programs/plantain-soak/vm_process.cc
@@ -10,8 +10,6 @@
 #include <unistd.h>
 #include <utility>
 
-extern char** environ;
-
 namespace plantainhaven::soak {
 
 VmProcess::VmProcess(VmOptions aOptions)
