--- a/src/edge/fleet.cc
+++ b/src/edge/fleet.cc
@@ -311,7 +311,9 @@
       }
     }
   }
-  view.isSettled = this->isRegistered && (this->members.empty() || !view.holders.empty());
+  const bool canHaveTokens =
+    this->members.empty() || !view.holders.empty() || !this->ownRange.IsEmpty();
+  view.isSettled = this->isRegistered && canHaveTokens;
   this->metrics.Set("plantainhaven_peers_heard", static_cast<double>(view.holders.size()));
   this->listener.onView(std::move(view));
 }
--- a/src/edge/traffic.cc
+++ b/src/edge/traffic.cc
@@ -26,7 +26,7 @@
 constexpr std::size_t kMostAddresses = 64;
 // Callers that use an old look-up still come for this long after a stop was asked for.
 constexpr std::chrono::milliseconds kStopTakesCallers{ 3000 };
-// A VM that has just started has no tokens until it has heard the others; it isn't ready
+// A VM that is new to the fleet has no tokens until it has heard the others; it isn't ready
 // before, but for no longer than this when they stay silent.
 constexpr std::chrono::milliseconds kLongestSettling{ 1500 };
 // Time kept at the end of the grace for closing and for the end of the process.
--- a/src/edge/traffic.h
+++ b/src/edge/traffic.h
@@ -24,7 +24,7 @@
 // What the control thread knows about the other VMs.
 struct FleetView
 {
-  // This VM has its row, and has heard another VM if there is one.
+  // This VM has its row, and tokens to give out or another VM to borrow them from.
   bool isSettled = false;
   // VMs that callers may use, this one included while it is ready.
   std::vector<EntryVm> entries;
