End the log in order, and give the soak ports of its own

The counts are now written at the end of main(); the exit handler only ends the writer.

Ports now come once each from a range below the kernel's.

--- a/include/plantainhaven/common/log.h
+++ b/include/plantainhaven/common/log.h
@@ -43,7 +43,8 @@
 void
 SetLogLevel(std::string_view aLevel);
 
-// Writes what still waits and ends the log; called at the end of the process too.
+// Writes what still waits, with the counts of lines left out, and ends the log. Call at the
+// end of main(); at the end of the process only what waits is written.
 void
 StopLog();
 
--- a/src/common/log.cc
+++ b/src/common/log.cc
@@ -191,6 +191,18 @@
   return line;
 }
 
+void
+EndSink()
+{
+  boost::shared_ptr<Sink>& sink = SharedSink();
+  if (sink != nullptr) {
+    log::core::get()->remove_sink(sink);
+    sink->stop();
+    sink->flush();
+    sink.reset();
+  }
+}
+
 void
 AddSink()
 {
@@ -201,10 +213,9 @@
   sink->set_formatter(log::expressions::stream << log::expressions::smessage);
   log::core::get()->add_sink(sink);
   SharedSink() = sink;
-  // What StopLog() uses must be made before it is registered, so that it still stands then.
-  Sampler();
-  SharedSource();
-  std::atexit(StopLog);
+  // The writer must end before the libraries that it uses. No line may be written as late as
+  // this: what Boost.Log keeps for each thread is gone by then.
+  std::atexit(EndSink);
 }
 
 } // namespace
@@ -245,8 +256,7 @@
 void
 StopLog()
 {
-  boost::shared_ptr<Sink>& sink = SharedSink();
-  if (sink == nullptr) {
+  if (SharedSink() == nullptr) {
     return;
   }
   for (const auto& [event, count] : Sampler().sampler.TakeCounts()) {
@@ -254,10 +264,7 @@
     BOOST_LOG_SEV(SharedSource(), LogLevel::kInfo)
       << Line(LogLevel::kInfo, "log_left_out", { { "of", event }, { "left_out", text } });
   }
-  log::core::get()->remove_sink(sink);
-  sink->stop();
-  sink->flush();
-  sink.reset();
+  EndSink();
 }
 
 void
--- a/src/common/program.cc
+++ b/src/common/program.cc
@@ -111,7 +111,9 @@
   }
   SharedFileName() = aGiven["config"].as<std::string>();
   StartLog(aName, LogLevelOf(aSettings));
-  return aRun();
+  const int status = aRun();
+  StopLog();
+  return status;
 }
 
 } // namespace
--- a/src/programs/plantain-soak/soak.cc
+++ b/src/programs/plantain-soak/soak.cc
@@ -1,6 +1,5 @@
 #include "soak.h"
 
-#include "plantainhaven/standin/free_port.h"
 #include "platform/names.h"
 
 #include <csignal>
@@ -133,7 +132,11 @@
   const int port = std::stoi(address.substr(address.rfind(':') + 1));
   auto link = std::make_unique<FaultProxy>(this->context, static_cast<std::uint16_t>(port));
   vm.store = link->Port();
-  vm.ports = { FreePort(), FreePort(), FreePort(), FreePort(), FreePort() };
+  vm.ports = { this->ports.Next(),
+               this->ports.Next(),
+               this->ports.Next(),
+               this->ports.Next(),
+               this->ports.Next() };
   this->vms.push_back({ std::move(link), std::make_unique<VmProcess>(std::move(vm)), {}, {} });
 }
 
--- a/src/programs/plantain-soak/soak.h
+++ b/src/programs/plantain-soak/soak.h
@@ -7,6 +7,7 @@
 
 #include "edge/context.h"
 #include "edge/net.h"
+#include "plantainhaven/standin/free_port.h"
 #include "plantainhaven/standin/server_standin.h"
 #include "plantainhaven/standin/store_standin.h"
 
@@ -106,6 +107,7 @@
   BootTime startedAt;
   Ledger ledger;
   standin::StoreStandin store;
+  PortRange ports;
   std::vector<Vm> vms;
   std::vector<Server> servers;
   std::unique_ptr<Callers> callers;
--- a/src/standin/free_port.cc
+++ b/src/standin/free_port.cc
@@ -1,30 +1,65 @@
 #include "plantainhaven/standin/free_port.h"
 
-#include <cerrno>
 #include <netinet/in.h>
+#include <optional>
+#include <stdexcept>
 #include <sys/socket.h>
-#include <system_error>
 #include <unistd.h>
 
 namespace plantainhaven {
 
-std::uint16_t
-FreePort()
+namespace {
+
+// Below the ports of scripts/lib.sh, which begin at 20000.
+constexpr std::uint16_t kFirstPort = 12000;
+constexpr std::uint16_t kPorts = 8000;
+// Processes that run at once begin this far apart.
+constexpr int kStride = 97;
+
+// The port that was bound, or nothing when it is taken. Port 0 takes any.
+std::optional<std::uint16_t>
+TryPort(std::uint16_t aPort)
 {
   const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
+  address.sin_port = htons(aPort);
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t size = sizeof(address);
   auto* const generic = reinterpret_cast<sockaddr*>(&address);
   const bool isFound =
     ::bind(descriptor, generic, size) == 0 && ::getsockname(descriptor, generic, &size) == 0;
-  const int fault = errno;
   ::close(descriptor);
-  if (!isFound) {
-    throw std::system_error(fault, std::generic_category(), "no free port on loopback");
+  return isFound ? std::optional<std::uint16_t>(ntohs(address.sin_port)) : std::nullopt;
+}
+
+} // namespace
+
+std::uint16_t
+FreePort()
+{
+  const auto port = TryPort(0);
+  if (!port) {
+    throw std::runtime_error("no free port on loopback");
+  }
+  return *port;
+}
+
+PortRange::PortRange()
+  : offset(static_cast<std::uint16_t>(::getpid() * kStride % kPorts))
+{
+}
+
+std::uint16_t
+PortRange::Next()
+{
+  while (this->tried < kPorts) {
+    const int place = (this->offset + this->tried++) % kPorts;
+    if (const auto port = TryPort(static_cast<std::uint16_t>(kFirstPort + place))) {
+      return *port;
+    }
   }
-  return ntohs(address.sin_port);
+  throw std::runtime_error("no free port left between 12000 and 19999");
 }
 
 } // namespace plantainhaven
