Hold times in chrono types, and name statuses as statuses

A server's start, the shortest half-life, the keep-alive of the stand-in and the longest duration setting were plain numbers; two HTTP statuses read like times.

--- a/include/plantainhaven/policy/placing/routing.h
+++ b/include/plantainhaven/policy/placing/routing.h
@@ -119,9 +119,9 @@
   // Requests that it runs at once.
   int slots = 1;
   bool isDraining = false;
-  // Start of the process, in milliseconds of Unix time; a restart under the same id
+  // Start of the process by its own clock; a restart under the same id
   // changes it.
-  std::int64_t startedAtUnixMs = 0;
+  std::chrono::sys_time<std::chrono::milliseconds> startedAt{};
   // How much longer it was cold when it reported.
   std::chrono::milliseconds warmupLeft{ 0 };
   std::int64_t reportNumber = 0;
--- a/src/common/setting_value.cc
+++ b/src/common/setting_value.cc
@@ -19,7 +19,7 @@
 using google::protobuf::Message;
 
 constexpr double kNanosecondsPerSecond = 1e9;
-constexpr double kLongestSeconds = 9e9;
+constexpr std::chrono::duration<double> kLongest{ 9e9 };
 
 struct DurationUnit
 {
@@ -248,7 +248,8 @@
   const auto number = ParseNumber<double>(Trim(aText.substr(0, unitStart)));
   const std::string unitName = Trim(aText.substr(unitStart));
   for (const DurationUnit& unit : kDurationUnits) {
-    if (unit.name == unitName && number && std::abs(*number * unit.seconds) < kLongestSeconds) {
+    const std::chrono::duration<double> length(number.value_or(0) * unit.seconds);
+    if (unit.name == unitName && number && std::chrono::abs(length) < kLongest) {
       const double nanoseconds = std::round(*number * unit.seconds * kNanosecondsPerSecond);
       return std::chrono::nanoseconds(static_cast<std::int64_t>(nanoseconds));
     }
--- a/src/edge/store_follower.cc
+++ b/src/edge/store_follower.cc
@@ -359,7 +359,7 @@
   const BackendServer& server = ValueOf(decoded);
   const BackendServer* const known = this->registry.Find(server.id);
   const bool isNews = known == nullptr || known->isDraining != server.isDraining ||
-                      known->startedAtUnixMs != server.startedAtUnixMs;
+                      known->startedAt != server.startedAt;
   if (isNews) {
     Log(LogLevel::kInfo,
         "server",
@@ -368,7 +368,7 @@
           { "failure_domain", server.failureDomain },
           { "draining", server.isDraining },
           { "warmup_ms", server.warmupLeft.count() },
-          { "started_ms", server.startedAtUnixMs },
+          { "started_ms", server.startedAt.time_since_epoch().count() },
           { "row", aRow.version } });
   }
   this->registry.OnReport(server);
--- a/src/http/request_runner.cc
+++ b/src/http/request_runner.cc
@@ -27,7 +27,7 @@
   if (aIsTooLarge || aStream.Fault() == StreamFault::kTooLong) {
     return kContentTooLarge;
   }
-  return aStream.Fault() == StreamFault::kTimeout ? kRequestTimeout : kBadRequest;
+  return aStream.Fault() == StreamFault::kTimeout ? kStatusRequestTimeout : kBadRequest;
 }
 
 } // namespace
@@ -82,7 +82,7 @@
   if (aFault == StreamFault::kTooLong) {
     return this->Refusal(kHeadersTooLarge);
   }
-  return aFault == StreamFault::kTimeout ? this->Refusal(kRequestTimeout) : Outcome{};
+  return aFault == StreamFault::kTimeout ? this->Refusal(kStatusRequestTimeout) : Outcome{};
 }
 
 Outcome
--- a/src/http/server_turn.cc
+++ b/src/http/server_turn.cc
@@ -16,7 +16,7 @@
 
 constexpr std::array kReasons = {
   Reason{ kBadRequest, "Bad Request" },
-  Reason{ kRequestTimeout, "Request Timeout" },
+  Reason{ kStatusRequestTimeout, "Request Timeout" },
   Reason{ kContentTooLarge, "Content Too Large" },
   Reason{ kTargetTooLong, "URI Too Long" },
   Reason{ kHeadersTooLarge, "Request Header Fields Too Large" },
--- a/src/http/server_turn.h
+++ b/src/http/server_turn.h
@@ -11,7 +11,7 @@
 namespace plantainhaven {
 
 constexpr int kBadRequest = 400;
-constexpr int kRequestTimeout = 408;
+constexpr int kStatusRequestTimeout = 408;
 constexpr int kContentTooLarge = 413;
 constexpr int kTargetTooLong = 414;
 constexpr int kHeadersTooLarge = 431;
--- a/src/platform/backend_standin.cc
+++ b/src/platform/backend_standin.cc
@@ -32,7 +32,7 @@
 constexpr int kBadRequest = 400;
 constexpr int kInternalError = 500;
 constexpr int kServiceUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
+constexpr int kStatusGatewayTimeout = 504;
 constexpr char kShedHeader[] = "Plantainhaven-Shed";
 constexpr char kDrainingHeader[] = "Plantainhaven-Draining";
 constexpr char kRequestIdHeader[] = "Plantainhaven-Request-Id";
@@ -218,7 +218,7 @@
     const SlotLease lease(this->slots);
     this->executions.Note(OperationId(aRequest), aRequest.method);
     if (!this->Work(aRequest, present)) {
-      return Refusal(this->options.name, kGatewayTimeout, "deadline");
+      return Refusal(this->options.name, kStatusGatewayTimeout, "deadline");
     }
   }
   this->faultGate.Pause(milliseconds(present.late_ms()));
--- a/src/policy/placing/placement.cc
+++ b/src/policy/placing/placement.cc
@@ -401,10 +401,9 @@
   std::map<std::string, ServerRecord> kept;
   for (const BackendServer& server : aServers) {
     const auto old = this->impl->servers.find(server.id);
-    const bool isSame = old != this->impl->servers.end() &&
-                        old->second.Entry().startedAtUnixMs == server.startedAtUnixMs &&
-                        old->second.Entry().address == server.address &&
-                        old->second.Entry().port == server.port;
+    const bool isSame =
+      old != this->impl->servers.end() && old->second.Entry().startedAt == server.startedAt &&
+      old->second.Entry().address == server.address && old->second.Entry().port == server.port;
     if (isSame) {
       old->second.Update(server, aReadAt);
       kept.emplace(server.id, std::move(old->second));
--- a/src/policy/placing/server_record.cc
+++ b/src/policy/placing/server_record.cc
@@ -14,7 +14,7 @@
 // A load report loses half of its weight in this part of the usual time of a request, since
 // about as many requests end meanwhile, but not sooner than in the shortest half-life.
 constexpr double kReportHalfLife = 0.5;
-constexpr double kShortestHalfLifeMs = 200;
+constexpr Milliseconds kShortestHalfLife{ 200 };
 // An own report that is older than this is replaced by what other VMs have seen.
 constexpr std::chrono::milliseconds kOwnReportHolds{ 250 };
 // Weight of the newest sample in the moving averages.
@@ -154,7 +154,7 @@
   if (aNow < this->shedUntil) {
     return this->inFlight + this->entry.slots;
   }
-  const double halfLife = std::max(kShortestHalfLifeMs, aUsualTime * kReportHalfLife);
+  const double halfLife = std::max(kShortestHalfLife.count(), aUsualTime * kReportHalfLife);
   const double age = Milliseconds(aNow - this->othersAt).count() / halfLife;
   return this->inFlight + this->others * std::exp2(-std::max(0.0, age));
 }
--- a/src/standin/server_standin.cc
+++ b/src/standin/server_standin.cc
@@ -24,7 +24,7 @@
 using Response = http::response<http::string_body>;
 
 constexpr std::uint64_t kMostBodyBytes = 16 << 20;
-constexpr int kKeepAliveSeconds = 5;
+constexpr std::chrono::seconds kKeepAlive{ 5 };
 
 bool
 IsDue(int aEvery, int aCount)
@@ -83,7 +83,7 @@
   response.set(platform::kRequestIdHeader, Field(aRequest, platform::kRequestIdHeader));
   response.set(platform::kLoadHeader,
                std::to_string(this->running) + ",0," + std::to_string(this->options.slots));
-  response.set(http::field::keep_alive, "timeout=" + std::to_string(kKeepAliveSeconds));
+  response.set(http::field::keep_alive, "timeout=" + std::to_string(kKeepAlive.count()));
   response.keep_alive(aRequest.keep_alive());
   return response;
 }
--- a/test/adapter/decode_test.cc
+++ b/test/adapter/decode_test.cc
@@ -35,7 +35,7 @@
   CHECK(server.slots == 9);
   CHECK_FALSE(server.isDraining);
   CHECK(server.warmupLeft == milliseconds(120));
-  CHECK(server.startedAtUnixMs == 17);
+  CHECK(server.startedAt.time_since_epoch() == std::chrono::milliseconds(17));
 }
 
 TEST_CASE("A report that can't be used names no server, and the error its field")
--- a/test/policy/placing/placing_support.h
+++ b/test/policy/placing/placing_support.h
@@ -30,7 +30,7 @@
   server.region = aRegion;
   server.failureDomain = aDomain;
   server.slots = 3;
-  server.startedAtUnixMs = 1;
+  server.startedAt += std::chrono::milliseconds(1);
   return server;
 }
 
