Serve large responses from the failure domain; look for a caller that left

Routes whose mean response is above 16 KB now go first to the object's server in this VM's failure domain, then to the one in the other domain, which knows the object from its own callers. The connection is now looked at before each send.

Tests: placement_test (near server first, then the other domain's) and traffic_test (five requests whose callers left unread: 10 sends before, 5 after).

--- a/include/plantainhaven/policy/placing/placement.h
+++ b/include/plantainhaven/policy/placing/placement.h
@@ -41,6 +41,8 @@
   // Hash of the object that the request concerns.
   std::uint64_t object = 0;
   AllowedRegions allowed;
+  // The response is large: a server of this VM's failure domain goes first.
+  bool isLarge = false;
   // Ids of backend servers that were tried already.
   const std::vector<std::string>* excluded = nullptr;
 };
@@ -86,7 +88,8 @@
 class Placement
 {
 public:
-  Placement(std::string aSelf, std::string aRegion);
+  // The name and place of this VM.
+  Placement(std::string aSelf, std::string aRegion, std::string aFailureDomain = {});
   ~Placement();
   Placement(const Placement&) = delete;
   Placement& operator=(const Placement&) = delete;
--- a/src/edge/caller_watch.h
+++ b/src/edge/caller_watch.h
@@ -46,6 +46,15 @@
     this->socket.cancel(ignored);
   }
 
+  // Looks at the connection at once. While many events wait, a caller may have left before its
+  // request was read, and the event that tells so comes after the send.
+  void Look()
+  {
+    if (this->state != nullptr && !this->state->isStopped && !this->state->hasLeft) {
+      OnReadable(*this->state, this->socket);
+    }
+  }
+
   bool HasLeft() const { return this->state != nullptr && this->state->hasLeft; }
   // Called once when the caller leaves; replaces the previous reaction.
   // Does nothing before Start().
--- a/src/edge/dispatcher.cc
+++ b/src/edge/dispatcher.cc
@@ -18,6 +18,13 @@
 // A wish is refused unless this part of the usual time is left when it starts.
 constexpr double kNeededTime = 0.3;
 constexpr std::chrono::milliseconds kRetryWithoutServer{ 500 };
+// Mean response from which on the bytes between failure domains count for more than a second
+// server that has to learn an object.
+constexpr double kLargeResponse = 16 << 10;
+// Weight of the newest response in the mean; about twenty responses count.
+constexpr double kBytesWeight = 0.05;
+// Routes whose means are kept, for each route of the configuration in force.
+constexpr std::size_t kMeansPerRoute = 4;
 // A split is logged again when this part of the requests has moved.
 constexpr double kLoggedShift = 0.05;
 
@@ -48,7 +55,7 @@
   : context(aContext)
   , options(std::move(aOptions))
   , metrics(aMetrics)
-  , placement(this->options.vm, this->options.region)
+  , placement(this->options.vm, this->options.region, this->options.failureDomain)
 {
 }
 
@@ -127,6 +134,8 @@
   request.object = aWish.object;
   request.allowed = aWish.allowed;
   request.excluded = &aWish.excluded;
+  const auto bytes = this->responseBytes.find(aWish.route);
+  request.isLarge = bytes != this->responseBytes.end() && bytes->second > kLargeResponse;
   return this->placement.Choose(request, aNow);
 }
 
@@ -224,6 +233,17 @@
   }
 }
 
+void
+Dispatcher::OnResponseBytes(const std::string& aRoute, std::uint64_t aBytes)
+{
+  if (this->responseBytes.size() > kMeansPerRoute * this->routing->RouteCount()) {
+    this->responseBytes.clear();
+  }
+  const auto bytes = static_cast<double>(aBytes);
+  double& mean = this->responseBytes.try_emplace(aRoute, bytes).first->second;
+  mean += kBytesWeight * (bytes - mean);
+}
+
 void
 Dispatcher::CountFirstSend(const std::string& aService)
 {
--- a/src/edge/dispatcher.h
+++ b/src/edge/dispatcher.h
@@ -25,6 +25,7 @@
 {
   std::string vm;
   std::string region;
+  std::string failureDomain;
   // Repeats that each first send to a service earns, and how many all VMs may keep.
   double retryRatio = 0.2;
   double retrySlack = 60;
@@ -36,6 +37,7 @@
 struct SendWish
 {
   std::string service;
+  std::string route;
   std::uint64_t object = 0;
   AllowedRegions allowed;
   std::vector<std::string> excluded;
@@ -95,6 +97,9 @@
   // What another VM has seen of servers.
   void OnPeerLoads(const VmReport& aReport);
 
+  // A response of the route had a body of so many bytes.
+  void OnResponseBytes(const std::string& aRoute, std::uint64_t aBytes);
+
   void CountFirstSend(const std::string& aService);
   bool TryRepeat(const std::string& aService);
 
@@ -161,6 +166,8 @@
   std::map<std::string, ServiceState> services;
   std::map<std::uint64_t, std::shared_ptr<Waiting>> waiting;
   std::map<std::string, std::map<std::string, double>> peerDemand;
+  // Moving average of the bytes in a response, by route.
+  std::map<std::string, double> responseBytes;
   std::uint64_t nextWaiter = 1;
   // Requests seen at servers since the last report, by the hash of the server's id.
   std::unordered_map<std::uint64_t, int> seenLoads;
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -50,6 +50,8 @@
   // The first part of the body, and whether it is all of it.
   std::string& Body() { return this->body; }
   bool IsWhole() const { return this->parser->is_done(); }
+  // Bytes of the whole body, or of its first part when the head doesn't tell.
+  std::uint64_t BodyBytes() const { return this->ContentLength().value_or(this->body.size()); }
   // A head was read that can be judged.
   bool IsAnswered() const { return this->isAnswered; }
   std::optional<std::uint64_t> ContentLength() const;
--- a/src/edge/request_run.cc
+++ b/src/edge/request_run.cc
@@ -151,6 +151,7 @@
   }
   this->deadlineAt = this->arrivedAt + timeout;
   this->wish.service = this->PickService();
+  this->wish.route = this->route->name;
   const auto object = ToStd(this->request[platform::kObjectHeader]);
   this->wish.object = object.empty()
                         ? this->state.random()
@@ -240,6 +241,7 @@
   const auto longestIdle = this->route->isIdempotent ? kLongestIdle : kLongestIdleOnce;
   const SteadyTime until = steadyNow + std::min(left, kConnectTimeout);
   const bool isConnected = co_await exchange.Connect(longestIdle, until);
+  this->watch.Look();
   if (this->watch.HasLeft()) {
     end(SendOutcome::kAbandoned);
     this->state.metrics.Count("plantainhaven_caller_left_total", "while", "connecting");
@@ -274,6 +276,7 @@
   if (exchange.Outcome() == SendOutcome::kServed && exchange.IsWhole()) {
     end(SendOutcome::kServed);
     this->LogServed(aServer, exchange, startedAt);
+    this->state.dispatcher.OnResponseBytes(this->route->name, exchange.BodyBytes());
     const Next next = co_await this->PassOn(exchange);
     this->watch.OnLeave(nullptr);
     co_return next;
--- a/src/edge/traffic.cc
+++ b/src/edge/traffic.cc
@@ -42,6 +42,7 @@
   DispatcherOptions options;
   options.vm = aSettings.vm().name();
   options.region = aSettings.vm().region();
+  options.failureDomain = aSettings.vm().failure_domain();
   options.retryRatio = aBounds.retryRatio * kRetryRatioUsed;
   options.retrySlack = aBounds.retrySlack;
   options.planStep = aBounds.largestShift * kShiftUsed / kStepsPerShiftWindow;
--- a/src/policy/placing/placement.cc
+++ b/src/policy/placing/placement.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -138,6 +139,10 @@
                          BootTime aNow);
   bool HasSpareRoom(std::string_view aService) const;
   Placing ChooseRanked(const PlacingRequest& aRequest, BootTime aNow);
+  // Ranks the first server of this VM's failure domain, then the first of the others, ahead
+  // of the rest. Both domains' callers ask for the same objects, so both servers know them.
+  // False when all are in one domain.
+  bool PutNearFirst();
   // How many of the ranked servers share the request's object.
   std::size_t Owners(const PlacingRequest& aRequest,
                      const ServerRecord& aFirst,
@@ -146,6 +151,7 @@
   std::string self;
   std::uint64_t selfHash = 0;
   std::string region;
+  std::string failureDomain;
   std::map<std::string, ServerRecord> servers;
   std::unordered_map<std::uint64_t, ServerRecord*> byHash;
   std::map<std::string, ServiceRecord, std::less<>> services;
@@ -326,6 +332,26 @@
   return OwnersFor(rate, usual, aFirst.Entry().slots);
 }
 
+bool
+Placement::Impl::PutNearFirst()
+{
+  Ranked* own = nullptr;
+  Ranked* other = nullptr;
+  for (Ranked& candidate : this->ranked) {
+    const bool isOwn = candidate.record->Entry().failureDomain == this->failureDomain;
+    Ranked*& best = isOwn ? own : other;
+    if (best == nullptr || *best < candidate) {
+      best = &candidate;
+    }
+  }
+  if (own == nullptr || other == nullptr) {
+    return false;
+  }
+  own->rank = std::numeric_limits<std::uint64_t>::max();
+  other->rank = std::numeric_limits<std::uint64_t>::max() - 1;
+  return true;
+}
+
 Placing
 Placement::Impl::ChooseRanked(const PlacingRequest& aRequest, BootTime aNow)
 {
@@ -333,10 +359,12 @@
     return { PlacingState::kBusy, nullptr };
   }
   const double usual = this->UsualTime(aRequest.service);
+  const bool hasNearOwner = aRequest.isLarge && this->PutNearFirst();
   // Mostly the first has room, so the order is found only as far as it is needed.
   std::make_heap(this->ranked.begin(), this->ranked.end());
   const ServerRecord& first = *this->ranked.front().record;
-  const std::size_t owners = std::min(this->Owners(aRequest, first, aNow), this->ranked.size());
+  const std::size_t sharing = this->Owners(aRequest, first, aNow) + (hasNearOwner ? 1 : 0);
+  const std::size_t owners = std::min(sharing, this->ranked.size());
   for (std::size_t i = 0; i < owners; ++i) {
     std::pop_heap(this->ranked.begin(), this->ranked.end());
     const ServerRecord& record = *this->ranked.back().record;
@@ -403,12 +431,13 @@
   return { PlacingState::kBusy, nullptr };
 }
 
-Placement::Placement(std::string aSelf, std::string aRegion)
+Placement::Placement(std::string aSelf, std::string aRegion, std::string aFailureDomain)
   : impl(std::make_unique<Impl>())
 {
   this->impl->selfHash = StableHash(aSelf);
   this->impl->self = std::move(aSelf);
   this->impl->region = std::move(aRegion);
+  this->impl->failureDomain = std::move(aFailureDomain);
 }
 
 Placement::~Placement() = default;
--- a/test/edge/one_vm.h
+++ b/test/edge/one_vm.h
@@ -165,6 +165,30 @@
     return answer;
   }
 
+  // Sends a request and closes the connection before the VM can read any of it.
+  void AskAndLeaveUnread(const std::string& aPath)
+  {
+    std::promise<void> leave;
+    std::promise<void> isHeld;
+    asio::post(this->context, [&isHeld, left = leave.get_future().share()] {
+      isHeld.set_value();
+      left.wait();
+    });
+    isHeld.get_future().wait();
+    {
+      asio::io_context own;
+      Tcp::socket socket(own);
+      socket.connect({ asio::ip::make_address("127.0.0.1"), this->callersPort });
+      const std::string head = "GET " + aPath +
+                               " HTTP/1.1\r\nHost: shop.example\r\n"
+                               "X-Plantainhaven-Request-Id: unread\r\n"
+                               "X-Plantainhaven-Affinity-Key: 17\r\n"
+                               "Authorization: Token key-1\r\n\r\n";
+      asio::write(socket, asio::buffer(head));
+    }
+    leave.set_value();
+  }
+
   std::uint16_t CallersPort() const { return this->callersPort; }
   // The status that the platform's readiness question gets.
   unsigned Readiness() const
--- a/test/edge/traffic_test.cc
+++ b/test/edge/traffic_test.cc
@@ -112,6 +112,19 @@
 
 // The demo found bookings refused with 429 at a VM that was ready before it had heard the
 // VM that held the tokens.
+// Under overload a request may be read long after its caller has closed the connection.
+TEST_CASE("A request whose caller left before it was read isn't sent")
+{
+  OneVm vm;
+  vm.EarnRepeats();
+  const std::size_t before = vm.Arrived();
+  for (int i = 0; i < 5; ++i) {
+    vm.AskAndLeaveUnread("/read/x");
+    CHECK(vm.Ask(http::verb::get, "/read/x").result_int() == 200);
+  }
+  CHECK(vm.Arrived() - before == 5);
+}
+
 TEST_CASE("A VM that has just started isn't ready before it has heard the others")
 {
   OneVm vm;
--- a/test/policy/placing/placement_test.cc
+++ b/test/policy/placing/placement_test.cc
@@ -294,6 +294,40 @@
   CHECK(sent >= 900);
 }
 
+// Both domains' callers ask for the same objects; responses of 90 KB made the bytes between
+// domains the largest price of a calm day.
+TEST_CASE("A large response comes from this VM's failure domain while its server has room")
+{
+  std::vector<BackendServer> servers;
+  for (int i = 0; i < 4; ++i) {
+    servers.push_back(MakeServer("a" + std::to_string(i), "north", "north-a"));
+    servers.push_back(MakeServer("b" + std::to_string(i), "north", "north-b"));
+  }
+  Placement here("vm-1", "north", "north-a");
+  Placement there("vm-2", "north", "north-b");
+  here.SetServers(servers, At(milliseconds(0)));
+  there.SetServers(servers, At(milliseconds(0)));
+  for (std::uint64_t object = 1; object <= 50; ++object) {
+    CAPTURE(object);
+    PlacingRequest request = MakeRequest(object);
+    CHECK(here.Choose(request, At(milliseconds(1))).server->id ==
+          there.Choose(request, At(milliseconds(1))).server->id);
+    request.isLarge = true;
+    const BackendServer own = *here.Choose(request, At(milliseconds(1))).server;
+    const BackendServer other = *there.Choose(request, At(milliseconds(1))).server;
+    CHECK(own.failureDomain == "north-a");
+    CHECK(other.failureDomain == "north-b");
+    for (int i = 0; i < own.slots; ++i) {
+      here.OnSent(own.id, At(milliseconds(2)));
+    }
+    // The other domain's server knows the object, too.
+    CHECK(here.Choose(request, At(milliseconds(3))).server->id == other.id);
+    for (int i = 0; i < own.slots; ++i) {
+      here.OnEnded(own.id, SendOutcome::kServed, milliseconds(90), At(milliseconds(4)));
+    }
+  }
+}
+
 TEST_CASE("Servers that must not be used aren't")
 {
   struct Case
