Date what the store says by its era

The store may come back from a copy some seconds old: versions are given out again, and a feed after a version that it passed again leaves out the rows written below. Store-Era is now decoded by the client; followers and the news between VMs compare versions within an era only, a new era means a whole read. What was in force holds until its writers have written again: a configuration never goes back, a drained domain stays so for 2.1 s, an older report of a server that drains or has left is held back for 6 s, a server that the copy doesn't show gets 2.1 s. Rows of VMs carry the era: living VMs write their ranges of the limits again at once, nobody gives for 4 s, and a VM that starts on a row of an older era waits as long and takes what nobody claims, by rows of the era or by reports.

Open: a VM that is restarted within the copy's time has no memory and reads the copy as it is; ranges of VMs gone for good aren't taken back.

--- a/include/plantainhaven/policy/placing/quota_parts.h
+++ b/include/plantainhaven/policy/placing/quota_parts.h
@@ -51,4 +51,8 @@
 double
 HeldPart(const std::vector<std::uint32_t>& aPositions, const QuotaRange& aRange);
 
+// What is left of a range without the others, in one piece: the longest one.
+QuotaRange
+WithoutRanges(const QuotaRange& aRange, std::vector<QuotaRange> aOthers);
+
 } // namespace plantainhaven::placing
--- a/include/plantainhaven/standin/store_rows.h
+++ b/include/plantainhaven/standin/store_rows.h
@@ -93,7 +93,12 @@
                                                      std::uint64_t aVersion) const;
   // Discards the history up to now.
   void ForgetHistory();
+  // Comes back from the copy at a version: what was written since is gone, and versions are
+  // given out again. The history up to there must not be forgotten.
+  void RewindTo(std::uint64_t aVersion);
   std::uint64_t Version() const { return this->version; }
+  // Rises by one with each rewind.
+  std::uint64_t Era() const { return this->era; }
 
 private:
   std::optional<std::string> Fault(const RowTransaction& aTransaction) const;
@@ -102,6 +107,7 @@
 
   std::uint64_t version = 0;
   std::uint64_t forgottenUpTo = 0;
+  std::uint64_t era = 1;
   std::map<RowPlace, StoredRow> rows;
   // Changes in order of version.
   std::vector<StoredRow> history;
--- a/include/plantainhaven/standin/store_standin.h
+++ b/include/plantainhaven/standin/store_standin.h
@@ -54,6 +54,8 @@
   void Put(const std::string& aTable, const std::string& aKey, const std::string& aValue);
   void Remove(const std::string& aTable, const std::string& aKey);
   void ForgetHistory();
+  // Comes back from the copy at a version.
+  void RewindTo(std::uint64_t aVersion);
   const StoreRows& Rows() const;
   // Calls so far, refused ones included.
   std::uint64_t Calls() const;
--- a/src/edge/edge_program.cc
+++ b/src/edge/edge_program.cc
@@ -163,7 +163,8 @@
                *message.mutable_table_news() = aNews;
                this->fleet.SendNear(message);
              },
-           .readers = [this] { return this->fleet.NearCount(); } };
+           .readers = [this] { return this->fleet.NearCount(); },
+           .onEra = [this](std::uint64_t aEra) { this->fleet.OnEra(aEra); } };
 }
 
 void
--- a/src/edge/fleet.cc
+++ b/src/edge/fleet.cc
@@ -35,6 +35,11 @@
 constexpr std::chrono::milliseconds kNextShare{ 100 };
 // One row of each write is the giver's own.
 constexpr std::size_t kMostReceivers = platform::StoreClient::kMostRows - 1;
+// Time in which every living VM hears of the store's new era and has written its row again:
+// a long poll, the message to the other VMs of the region, and two writes.
+constexpr std::chrono::milliseconds kEraSettles{ 4000 };
+// The first era; later ones mean that the store came back from a copy at some time.
+constexpr std::uint64_t kFirstEra = 1;
 // Row whose existence says that the whole of the limits was given out once.
 constexpr const char* kOriginKey = "#origin";
 
@@ -73,6 +78,7 @@
   , self(aSettings.vm().name())
   , endpoint("tcp://" + aSettings.vm().address() + ":" + std::to_string(aSettings.listen().peers()))
   , incarnation(NewIncarnation())
+  , rowTimer(aContext)
   , tickedAt(BootClock::Now())
 {
 }
@@ -112,6 +118,9 @@
   aReport.set_callers(this->settings.listen().callers());
   aReport.set_region(this->settings.vm().region());
   aReport.set_failure_domain(this->settings.vm().failure_domain());
+  aReport.set_tells_quota(this->isRegistered);
+  aReport.set_quota_begin(this->ownRange.begin);
+  aReport.set_quota_end(this->ownRange.end);
   this->ownReport = std::move(aReport);
   this->ResetSilent();
   const bool isFarTurn = isNews || this->reports++ % kFarReports == 0;
@@ -256,6 +265,9 @@
   member.record.set_region(report.region());
   member.record.set_failure_domain(report.failure_domain());
   member.record.set_incarnation(aMessage.from_incarnation());
+  if (report.tells_quota()) {
+    SetRange(member.record, { report.quota_begin(), report.quota_end() });
+  }
   member.report = report;
   member.heardAt = now;
   member.linkWatch.OnReport(!report.misses_receiver());
@@ -358,10 +370,37 @@
   record.set_region(this->settings.vm().region());
   record.set_failure_domain(this->settings.vm().failure_domain());
   record.set_incarnation(this->incarnation);
+  record.set_era(this->era);
   SetRange(record, aRange);
   return record;
 }
 
+void
+Fleet::OnEra(std::uint64_t aEra)
+{
+  if (aEra <= this->era) {
+    return;
+  }
+  const bool isFirst = this->era == 0;
+  this->era = aEra;
+  if (isFirst && (aEra <= kFirstEra || this->isRegistered)) {
+    return;
+  }
+  this->eraSettlesAt = BootClock::Now() + kEraSettles;
+  this->rowTimer.cancel();
+}
+
+void
+Fleet::TakeOwnRow(const VmRecord& aRecord, std::uint64_t aVersion)
+{
+  this->ownVersion = aVersion;
+  this->isOfThisEra = this->era <= kFirstEra || aRecord.era() == this->era;
+  // What this process holds is newer than the copy.
+  if (this->isOfThisEra || !this->isRegistered) {
+    this->ownRange = RangeOf(aRecord);
+  }
+}
+
 Task<bool>
 Fleet::ReadRows()
 {
@@ -369,8 +408,15 @@
   if (!IsOk(result)) {
     co_return false;
   }
+  this->OnEra(ValueOf(result).era);
+  if (ValueOf(result).era < this->era) {
+    co_return false;
+  }
   this->ownVersion = 0;
-  QuotaRange range;
+  this->isOfThisEra = this->era <= kFirstEra || !this->isRegistered;
+  if (this->isOfThisEra) {
+    this->ownRange = {};
+  }
   for (const platform::StoreRow& row : ValueOf(result).rows) {
     VmRecord record;
     if (row.key == kOriginKey) {
@@ -383,15 +429,19 @@
       continue;
     }
     if (row.key == this->self) {
-      this->ownVersion = row.version;
-      range = RangeOf(record);
+      this->TakeOwnRow(record, row.version);
       continue;
     }
     Member& member = this->members[row.key];
     member.rowVersion = row.version;
+    member.isOfThisEra = this->era <= kFirstEra || record.era() == this->era;
+    const bool keepsClaim = !member.isOfThisEra && member.report.tells_quota();
+    const QuotaRange claim = RangeOf(member.record);
     member.record = record;
+    if (keepsClaim) {
+      SetRange(member.record, claim);
+    }
   }
-  this->ownRange = range;
   co_return true;
 }
 
@@ -400,7 +450,7 @@
 Task<bool>
 Fleet::RegisterSelf()
 {
-  const bool isFirst = this->ownVersion == 0 && this->members.empty();
+  const bool isFirst = !this->isRegistered && this->ownVersion == 0 && this->members.empty();
   QuotaRange range = this->ownRange;
   std::vector<platform::ConditionalPut> puts;
   if (isFirst) {
@@ -415,6 +465,7 @@
   }
   this->ownVersion = ValueOf(written);
   this->ownRange = range;
+  this->isOfThisEra = true;
   this->isRegistered = true;
   Log(LogLevel::kInfo,
       "registered",
@@ -422,6 +473,42 @@
   co_return true;
 }
 
+// The part of a range of an older row that neither a row of this era nor a VM that was heard
+// claims.
+QuotaRange
+Fleet::UnclaimedPart(const QuotaRange& aRange) const
+{
+  const BootTime now = BootClock::Now();
+  std::vector<QuotaRange> claimed;
+  for (const auto& [name, member] : this->members) {
+    if (member.isOfThisEra || this->IsHeard(member, now)) {
+      claimed.push_back(RangeOf(member.record));
+    }
+  }
+  return placing::WithoutRanges(aRange, std::move(claimed));
+}
+
+Task<bool>
+Fleet::TryRegister()
+{
+  const bool isRead = co_await this->ReadRows();
+  if (!isRead) {
+    co_return false;
+  }
+  const bool isOldRow = this->ownVersion != 0 && !this->isOfThisEra;
+  const bool isAlone = this->ownVersion == 0 && this->members.empty();
+  const auto left = this->eraSettlesAt - BootClock::Now();
+  if ((isOldRow || isAlone) && left > BootClock::duration(0)) {
+    Log(LogLevel::kInfo, "era_settles", { { "era", this->era } });
+    co_await Sleep(this->rowTimer, ToMilliseconds(left));
+    co_return false;
+  }
+  if (isOldRow) {
+    this->ownRange = this->UnclaimedPart(this->ownRange);
+  }
+  co_return co_await this->RegisterSelf();
+}
+
 void
 Fleet::PublishRange()
 {
@@ -448,6 +535,9 @@
 Task<bool>
 Fleet::GiveParts()
 {
+  if (BootClock::Now() < this->eraSettlesAt) {
+    co_return false;
+  }
   const auto shared = ShareQuota(this->Parts(), this->self, kMostReceivers);
   if (!shared) {
     co_return false;
@@ -460,6 +550,7 @@
   for (auto part = shared->begin() + 1; part != shared->end(); ++part) {
     Member& member = this->members[part->vm];
     SetRange(member.record, part->range);
+    member.record.set_era(this->era);
     puts.push_back({ part->vm, member.record.SerializeAsString(), member.rowVersion });
   }
   const Result<std::uint64_t> written = co_await this->client.Write(platform::kFleetTable, puts);
@@ -477,35 +568,36 @@
 Task<void>
 Fleet::RunRows()
 {
-  asio::steady_timer timer(this->context);
   while (!this->isRegistered) {
-    const bool isRead = co_await this->ReadRows();
-    bool isWritten = false;
-    if (isRead) {
-      isWritten = co_await this->RegisterSelf();
-    }
+    const bool isWritten = co_await this->TryRegister();
     if (!isWritten) {
-      co_await Sleep(timer, kRetryPause);
+      co_await Sleep(this->rowTimer, kRetryPause);
     }
   }
   this->PublishRange();
   this->Introduce();
-  co_await Sleep(timer, kGather);
+  co_await Sleep(this->rowTimer, kGather);
   for (int round = 0;; ++round) {
     const bool isRead = co_await this->ReadRows();
     bool hasGiven = false;
+    bool isAsserted = isRead;
+    if (isRead && !this->isOfThisEra) {
+      isAsserted = co_await this->RegisterSelf();
+    }
     if (isRead) {
       this->PublishRange();
       this->Introduce();
       hasGiven = co_await this->GiveParts();
     }
     std::chrono::milliseconds pause = kRowPoll;
-    if (hasGiven) {
+    if (!isAsserted && this->era > kFirstEra) {
+      pause = kRetryPause;
+    } else if (hasGiven) {
       pause = kNextShare;
     } else if (round < kPartPolls && this->ownRange.IsEmpty()) {
       pause = kPartPoll;
     }
-    co_await Sleep(timer, pause);
+    co_await Sleep(this->rowTimer, pause);
   }
 }
 
--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -57,6 +57,9 @@
   bool HasStoreContact(std::chrono::milliseconds aTime) const;
   // Tells all VMs how this one is.
   void Report(VmReport aReport);
+  // The store answers in this era; a newer one than before means that it came back from an
+  // older copy.
+  void OnEra(std::uint64_t aEra);
 
 private:
   struct Member
@@ -64,6 +67,8 @@
     VmRecord record;
     std::uint64_t rowVersion = 0;
     BootTime heardAt{};
+    // The row was written in the era of the last read.
+    bool isOfThisEra = true;
     placing::LinkWatch linkWatch;
     VmReport report;
   };
@@ -71,7 +76,13 @@
   Task<void> RunLink();
   Task<void> RunRows();
   Task<bool> ReadRows();
+  // Takes over what the store says of this VM's range, as far as its row is of this era.
+  void TakeOwnRow(const VmRecord& aRecord, std::uint64_t aVersion);
   Task<bool> RegisterSelf();
+  // Registers this VM. While the store may have come back from a copy lately, a range that
+  // only an older row names waits until living VMs have written theirs again.
+  Task<bool> TryRegister();
+  QuotaRange UnclaimedPart(const QuotaRange& aRange) const;
   Task<bool> GiveParts();
   void OnMessage(const Envelope& aMessage);
   void OnReport(const Envelope& aMessage);
@@ -102,7 +113,14 @@
   // This VM's row as last read or written.
   std::uint64_t ownVersion = 0;
   QuotaRange ownRange;
+  // The own row was written in the era of the last read.
+  bool isOfThisEra = true;
   bool isRegistered = false;
+  // Era of the store as last heard; 0 before the first answer.
+  std::uint64_t era = 0;
+  // Until then living VMs write again what the store has lost.
+  BootTime eraSettlesAt{};
+  asio::steady_timer rowTimer;
   VmReport ownReport;
   std::uint64_t reports = 0;
   BootTime tickedAt{};
--- a/src/edge/store_follower.cc
+++ b/src/edge/store_follower.cc
@@ -104,6 +104,24 @@
   this->reader.onRegained(aSince);
 }
 
+void
+TableFollower::EnterEra(std::uint64_t aEra)
+{
+  const bool isFirst = this->era == 0;
+  this->era = aEra;
+  this->link.onEra(aEra);
+  if (isFirst) {
+    return;
+  }
+  Log(LogLevel::kWarning,
+      "store_era",
+      { { "table", this->options.table }, { "era", aEra }, { "version", this->version } });
+  this->version = 0;
+  this->isWhole = false;
+  this->hasReturned = true;
+  this->reader.onRewound(BootClock::Now());
+}
+
 void
 TableFollower::OnResult(const Error* aError)
 {
@@ -150,6 +168,12 @@
     co_return false;
   }
   const platform::TableRead& read = ValueOf(result);
+  if (read.era < this->era) {
+    co_return false;
+  }
+  if (read.era > this->era) {
+    this->EnterEra(read.era);
+  }
   this->reader.onReset();
   this->Apply(read.rows, read.version);
   this->isWhole = true;
@@ -168,6 +192,14 @@
     co_return false;
   }
   const platform::TableChanges& changes = ValueOf(result);
+  if (changes.era > this->era) {
+    this->EnterEra(changes.era);
+    co_return true;
+  }
+  // Meanwhile news of a newer era may have come.
+  if (changes.era < this->era || !this->isWhole) {
+    co_return true;
+  }
   if (changes.isHistoryGone) {
     Log(LogLevel::kInfo, "history_gone", { { "table", this->options.table } });
     this->isWhole = false;
@@ -198,6 +230,7 @@
   news.set_table(this->options.table);
   news.set_after(aAfter);
   news.set_version(this->version);
+  news.set_era(this->era);
   news.set_store_contact_ms(static_cast<std::uint64_t>(contact.count()));
   news.set_store_was_away(this->hasReturned && contact < kReturnIsNews);
   news.set_rows_omitted(BytesOf(aRows) > kMostNewsBytes);
@@ -217,7 +250,13 @@
 void
 TableFollower::OnNews(const std::string& aFrom, const TableNews& aNews)
 {
-  if (!this->isWhole || aNews.version() < this->version) {
+  if (aNews.era() > this->era) {
+    this->EnterEra(aNews.era());
+    this->turn.OnGap();
+    this->timer.cancel();
+    return;
+  }
+  if (!this->isWhole || aNews.era() < this->era || aNews.version() < this->version) {
     return;
   }
   const BootTime now = BootClock::Now();
@@ -252,7 +291,11 @@
   return { .onReset = [this] { this->avoided.clear(); },
            .onRow = [this](const platform::StoreRow& aRow) { this->OnRow(aRow); },
            .onRound = [this] { this->OnRound(); },
-           .onRegained = [](BootTime) {} };
+           .onRegained = [](BootTime) {},
+           .onRewound =
+             [this](BootTime aNow) {
+               this->keepAvoidedUntil = aNow + placing::ServerRegistry::kReturnTime;
+             } };
 }
 
 void
@@ -308,16 +351,20 @@
 void
 OperatorRows::OnRound()
 {
-  if (this->avoided == this->published) {
+  std::set<std::string> next = this->avoided;
+  if (BootClock::Now() < this->keepAvoidedUntil) {
+    next.insert(this->published.begin(), this->published.end());
+  }
+  if (next == this->published) {
     return;
   }
-  this->published = this->avoided;
+  this->published = next;
   std::string names;
-  for (const std::string& domain : this->avoided) {
+  for (const std::string& domain : this->published) {
     names += (names.empty() ? "" : ",") + domain;
   }
   Log(LogLevel::kInfo, "avoided_domains", { { "domains", names } });
-  this->listener.onAvoidedDomains({ this->avoided.begin(), this->avoided.end() });
+  this->listener.onAvoidedDomains({ this->published.begin(), this->published.end() });
 }
 
 ServerRows::ServerRows(const StoreListener& aListener,
@@ -335,7 +382,8 @@
   return { .onReset = [this] { this->registry.BeginRead(); },
            .onRow = [this](const platform::StoreRow& aRow) { this->OnRow(aRow); },
            .onRound = [this] { this->PublishChanges(); },
-           .onRegained = [this](BootTime aSince) { this->registry.OnStoreRegained(aSince); } };
+           .onRegained = [this](BootTime aSince) { this->registry.OnStoreRegained(aSince); },
+           .onRewound = [this](BootTime aNow) { this->registry.OnStoreRewound(aNow); } };
 }
 
 void
--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -34,6 +34,8 @@
   std::function<void(const TableNews&)> send;
   // How many read along, this VM included.
   std::function<std::size_t()> readers;
+  // Tells this VM's own parts of the store's era.
+  std::function<void(std::uint64_t)> onEra;
 };
 
 // Keeps a copy of one table of the store: reads it whole, then its changes, and starts
@@ -59,6 +61,9 @@
     std::function<void()> onRound;
     // The store answers again, since the given time, after calls that failed.
     std::function<void(BootTime)> onRegained;
+    // The store has come back from an older copy; what is known holds until its writers have
+    // written again.
+    std::function<void(BootTime)> onRewound;
   };
 
   TableFollower(asio::io_context& aContext,
@@ -80,6 +85,8 @@
   Task<bool> ReadChanges();
   void OnResult(const Error* aError);
   void OnRegained(BootTime aSince);
+  // Takes over a newer era: everything is to be read anew.
+  void EnterEra(std::uint64_t aEra);
   void Apply(const std::vector<platform::StoreRow>& aRows, std::uint64_t aVersion);
   void Tell(const std::vector<platform::StoreRow>& aRows, std::uint64_t aAfter) const;
 
@@ -92,7 +99,9 @@
   PollTurn turn;
   bool isWhole = false;
   bool isLost = false;
+  // Counts within `era` only.
   std::uint64_t version = 0;
+  std::uint64_t era = 0;
   BootTime contactSince{};
   // The contact began with the return of a store that had been away.
   bool hasReturned = false;
@@ -115,6 +124,9 @@
   std::uint64_t version = 0;
   std::set<std::string> avoided;
   std::set<std::string> published;
+  // Until then a domain that is being emptied stays so, even if the store's copy doesn't
+  // know it.
+  BootTime keepAvoidedUntil{};
 };
 
 // What the backend servers wrote.
--- a/src/policy/placing/quota_parts.cc
+++ b/src/policy/placing/quota_parts.cc
@@ -65,4 +65,25 @@
                             : static_cast<double>(held) / static_cast<double>(aPositions.size());
 }
 
+QuotaRange
+WithoutRanges(const QuotaRange& aRange, std::vector<QuotaRange> aOthers)
+{
+  std::erase_if(aOthers, [](const QuotaRange& aOther) { return aOther.IsEmpty(); });
+  std::sort(aOthers.begin(), aOthers.end(), [](const QuotaRange& aLeft, const QuotaRange& aRight) {
+    return aLeft.begin < aRight.begin;
+  });
+  // Closes the gap behind the last one.
+  aOthers.push_back({ aRange.end, aRange.end });
+  QuotaRange longest;
+  std::uint32_t begin = aRange.begin;
+  for (const QuotaRange& other : aOthers) {
+    const QuotaRange gap{ begin, std::min(other.begin, aRange.end) };
+    if (gap.Length() > longest.Length()) {
+      longest = gap;
+    }
+    begin = std::max(begin, other.end);
+  }
+  return longest;
+}
+
 } // namespace plantainhaven::placing
--- a/src/policy/placing/server_registry.cc
+++ b/src/policy/placing/server_registry.cc
@@ -5,14 +5,52 @@
 void
 ServerRegistry::BeginRead()
 {
+  this->held.clear();
   this->missing.insert(this->reported.begin(), this->reported.end());
   this->reported.clear();
   this->isChanged = true;
 }
 
+bool
+ServerRegistry::IsOutdated(const BackendServer& aServer) const
+{
+  for (const auto* part : { &this->reported, &this->missing }) {
+    const auto known = part->find(aServer.id);
+    if (known == part->end()) {
+      continue;
+    }
+    const BackendServer& newest = known->second;
+    const bool isEarlier =
+      newest.startedAt == aServer.startedAt && newest.reportNumber > aServer.reportNumber;
+    const bool wouldReturn = isEarlier && newest.isDraining && !aServer.isDraining;
+    if (wouldReturn || aServer.startedAt < newest.startedAt) {
+      return true;
+    }
+  }
+  const auto left = this->departed.find(aServer.id);
+  return left != this->departed.end() && left->second.startedAt == aServer.startedAt &&
+         left->second.reportNumber >= aServer.reportNumber;
+}
+
+void
+ServerRegistry::RecordDepartures()
+{
+  if (this->departed.size() + this->missing.size() > kMostDepartures) {
+    this->departed.clear();
+  }
+  for (const auto& [id, server] : this->missing) {
+    this->departed[id] = { server.startedAt, server.reportNumber };
+  }
+}
+
 void
 ServerRegistry::OnReport(const BackendServer& aServer)
 {
+  this->held.erase(aServer.id);
+  if (this->isCopy && this->IsOutdated(aServer)) {
+    this->held[aServer.id] = aServer;
+    return;
+  }
   this->missing.erase(aServer.id);
   this->reported[aServer.id] = aServer;
   this->isChanged = true;
@@ -21,6 +59,7 @@
 void
 ServerRegistry::OnRemoved(const std::string& aId)
 {
+  this->held.erase(aId);
   const auto known = this->reported.find(aId);
   if (known == this->reported.end()) {
     return;
@@ -33,6 +72,7 @@
 void
 ServerRegistry::OnUnreadable(const std::string& aId)
 {
+  this->held.erase(aId);
   this->reported.erase(aId);
   this->missing.erase(aId);
   this->isChanged = true;
@@ -44,6 +84,27 @@
   this->keepMissingUntil = aNow + kReturnTime;
 }
 
+void
+ServerRegistry::OnStoreRewound(BootTime aNow)
+{
+  this->isCopy = true;
+  this->copyUntil = aNow + kCopyTime;
+  this->OnStoreRegained(aNow);
+}
+
+// What the store still shows has been written again, or its writer would have removed it.
+void
+ServerRegistry::TrustCopy()
+{
+  this->isCopy = false;
+  for (const auto& [id, server] : this->held) {
+    this->missing.erase(id);
+    this->reported[id] = server;
+    this->isChanged = true;
+  }
+  this->held.clear();
+}
+
 const BackendServer*
 ServerRegistry::Find(const std::string& aId) const
 {
@@ -54,7 +115,12 @@
 std::optional<std::vector<BackendServer>>
 ServerRegistry::TakeChanges(bool aStoreStayedUp, BootTime aNow)
 {
-  if (!this->missing.empty() && (aStoreStayedUp || aNow >= this->keepMissingUntil)) {
+  if (this->isCopy && aNow >= this->copyUntil) {
+    this->TrustCopy();
+  }
+  const bool mayDrop = aNow >= this->keepMissingUntil || (aStoreStayedUp && !this->isCopy);
+  if (!this->missing.empty() && mayDrop) {
+    this->RecordDepartures();
     this->missing.clear();
     this->isChanged = true;
   }
--- a/src/standin/store_rows.cc
+++ b/src/standin/store_rows.cc
@@ -131,7 +131,7 @@
 std::optional<std::vector<StoredRow>>
 StoreRows::ChangesAfter(const std::string& aTable, std::uint64_t aVersion) const
 {
-  if (aVersion < this->forgottenUpTo) {
+  if (aVersion < this->forgottenUpTo || aVersion > this->version) {
     return std::nullopt;
   }
   std::map<RowPlace, StoredRow> newest;
@@ -151,6 +151,23 @@
   return changes;
 }
 
+void
+StoreRows::RewindTo(std::uint64_t aVersion)
+{
+  ++this->era;
+  this->version = aVersion;
+  std::erase_if(this->history,
+                [aVersion](const StoredRow& aRow) { return aRow.version > aVersion; });
+  this->rows.clear();
+  for (const StoredRow& change : this->history) {
+    if (change.isRemoved) {
+      this->rows.erase(change.place);
+    } else {
+      this->rows[change.place] = change;
+    }
+  }
+}
+
 void
 StoreRows::ForgetHistory()
 {
--- a/src/standin/store_standin.cc
+++ b/src/standin/store_standin.cc
@@ -3,6 +3,7 @@
 #include "edge/net.h"
 #include "edge/simple_server.h"
 #include "platform/base64.h"
+#include "platform/names.h"
 
 #include <algorithm>
 #include <boost/beast/core.hpp>
@@ -292,6 +293,7 @@
     response.result(reply.status);
     response.version(11);
     response.set(http::field::content_type, "application/json");
+    response.set(platform::kEraHeader, std::to_string(this->rows.Era()));
     response.keep_alive(request.keep_alive());
     response.body() = reply.body.dump();
     response.prepare_payload();
@@ -358,6 +360,12 @@
   this->impl->rows.ForgetHistory();
 }
 
+void
+StoreStandin::RewindTo(std::uint64_t aVersion)
+{
+  this->impl->rows.RewindTo(aVersion);
+}
+
 const StoreRows&
 StoreStandin::Rows() const
 {
--- a/test/standin/store_contract_test.cc
+++ b/test/standin/store_contract_test.cc
@@ -35,6 +35,7 @@
   virtual Result<TableChanges> Changes(std::uint64_t aAfter) = 0;
   virtual void Remove(const std::string& aKey) = 0;
   virtual void ForgetHistory() = 0;
+  virtual void RewindTo(std::uint64_t aVersion) = 0;
 };
 
 StoreRow
@@ -67,6 +68,7 @@
   {
     TableRead read;
     read.version = this->rows.Version();
+    read.era = this->rows.Era();
     std::string from;
     RowPage page;
     do {
@@ -84,6 +86,7 @@
     const auto found = this->rows.ChangesAfter(kTable, aAfter);
     changes.isHistoryGone = !found;
     changes.version = found ? this->rows.Version() : 0;
+    changes.era = this->rows.Era();
     for (const StoredRow& row : found.value_or(std::vector<StoredRow>())) {
       changes.rows.push_back(ToRow(row));
     }
@@ -94,6 +97,7 @@
     this->rows.Commit({ {}, {}, { { kTable, "", aKey } } });
   }
   void ForgetHistory() override { this->rows.ForgetHistory(); }
+  void RewindTo(std::uint64_t aVersion) override { this->rows.RewindTo(aVersion); }
 
 private:
   StoreRows rows;
@@ -124,6 +128,7 @@
   }
   void Remove(const std::string& aKey) override { this->store.Remove(kTable, aKey); }
   void ForgetHistory() override { this->store.ForgetHistory(); }
+  void RewindTo(std::uint64_t aVersion) override { this->store.RewindTo(aVersion); }
 
   StoreStandin& Store() { return this->store; }
   int Calls() const { return this->calls; }
@@ -201,6 +206,29 @@
   }
 }
 
+TEST_CASE("A store that came back from an older copy gives versions out again in a new era")
+{
+  for (const auto& subject : Subjects()) {
+    const std::uint64_t first = ValueOf(subject->Write({ { "a", "1", 0 } }));
+    const std::uint64_t era = ValueOf(subject->Read()).era;
+    const std::uint64_t lost = ValueOf(subject->Write({ { "a", "2", first }, { "b", "2", 0 } }));
+    subject->RewindTo(first);
+    const auto ahead = subject->Changes(lost);
+    CHECK(ValueOf(ahead).isHistoryGone);
+    CHECK(ValueOf(ahead).era == era + 1);
+    const auto read = subject->Read();
+    CHECK(ValueOf(read).era == era + 1);
+    REQUIRE(ValueOf(read).rows.size() == 1);
+    CHECK(ValueOf(read).rows.front().value == "1");
+    CHECK(ValueOf(subject->Write({ { "a", "3", first } })) == lost);
+    // Nothing but the era tells that the rows below were written anew.
+    const auto changes = subject->Changes(lost);
+    CHECK_FALSE(ValueOf(changes).isHistoryGone);
+    CHECK(ValueOf(changes).rows.empty());
+    CHECK(ValueOf(changes).era == era + 1);
+  }
+}
+
 TEST_CASE("Values keep every byte")
 {
   std::string bytes;
