Log and count what a backend server says about its rate limit

What was missing: whether a VM sees the limit at all (H1), whether each VM keeps it for itself (H2), or whether only retries or queued requests exceed it (H3). The adapter now decodes the field, event=server_limit tells when a VM learns of a limit, of a change and of its end, event=served tells whether its server was limited, and plantainhaven_limited_sends_total counts the sends to limited servers as first attempts, retries and queued requests. Nothing decides by it.

Ran: policy_placing_test and adapter_test pass.

--- a/include/plantainhaven/policy/placing/placement.h
+++ b/include/plantainhaven/policy/placing/placement.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -126,6 +127,12 @@
   // Records that another VM reported `aRequests` requests on the server whose id has this hash.
   void OnPeerLoad(std::uint64_t aServerHash, int aRequests, BootTime aNow);
 
+  // Records that a response of the server named a rate limit for all VMs together, in requests
+  // per second, or none. Returns whether the limit has changed.
+  bool OnLimit(const std::string& aServer, std::optional<double> aRate, BootTime aNow);
+  // The rate limit that the server names; std::nullopt while it names none.
+  std::optional<double> LimitOf(const std::string& aServer) const;
+
   // Returns the slots of usable servers by region; the demand is left at zero.
   std::vector<RegionState> Regions(const std::string& aService, BootTime aNow) const;
   std::vector<std::string> ServiceNames() const;
--- a/src/edge/dispatcher.cc
+++ b/src/edge/dispatcher.cc
@@ -39,6 +39,17 @@
   return aRequest.deadlineAt - std::chrono::duration_cast<BootClock::duration>(needed);
 }
 
+void
+LogLimit(const std::string& aServer, std::optional<double> aRate, std::string_view aSource)
+{
+  Log(LogLevel::kInfo,
+      "server_limit",
+      { { "server", aServer },
+        { "state", aRate ? "named" : "withdrawn" },
+        { "per_s", aRate.value_or(0) },
+        { "source", aSource } });
+}
+
 } // namespace
 
 const char*
@@ -144,8 +155,17 @@
 }
 
 void
-Dispatcher::ReserveSlot(const BackendServer& aServer, BootTime aNow)
-{
+Dispatcher::ReserveSlot(const BackendServer& aServer,
+                        const DispatchRequest& aRequest,
+                        bool aWasQueued,
+                        BootTime aNow)
+{
+  if (this->placement.LimitOf(aServer.id)) {
+    const char* const kind = aWasQueued ? "queued" : "first";
+    this->metrics.Count("plantainhaven_limited_sends_total",
+                        "kind",
+                        aRequest.excluded.empty() ? kind : "retry");
+  }
   this->placement.OnSent(aServer.id, aNow);
   ++this->StateOf(aServer.service).inFlight;
 }
@@ -161,7 +181,7 @@
     co_return DispatchFailure{ DispatchFailureReason::kNoServer, kNoServerRetryAfter };
   }
   if (placing.state == PlacingState::kSend) {
-    this->ReserveSlot(*placing.server, now);
+    this->ReserveSlot(*placing.server, aRequest, false, now);
     co_return *placing.server;
   }
   const std::uint64_t id = this->nextWaiter++;
@@ -230,6 +250,14 @@
   this->reportedLoads[StableHash(aServer)] = aLoad.running + aLoad.waiting;
 }
 
+void
+Dispatcher::OnLimit(const std::string& aServer, std::optional<double> aRate)
+{
+  if (this->placement.OnLimit(aServer, aRate, BootClock::Now())) {
+    LogLimit(aServer, aRate, "response");
+  }
+}
+
 void
 Dispatcher::OnPeerLoads(const VmReport& aReport)
 {
@@ -276,7 +304,7 @@
     return true;
   }
   const BackendServer server = *placing.server;
-  this->ReserveSlot(server, aNow);
+  this->ReserveSlot(server, aWaiting.request, true, aNow);
   this->CompleteWait(aId, server);
   return true;
 }
@@ -427,6 +455,12 @@
   }
 }
 
+std::optional<double>
+Dispatcher::LimitOf(const std::string& aServer) const
+{
+  return this->placement.LimitOf(aServer);
+}
+
 bool
 Dispatcher::MayUse(const std::string& aServer) const
 {
--- a/src/edge/dispatcher.h
+++ b/src/edge/dispatcher.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <ostream>
 #include <string>
 #include <unordered_map>
@@ -97,6 +98,8 @@
   void CancelWait(std::uint64_t aWaiter);
   void End(const BackendServer& aServer, SendOutcome aOutcome, std::chrono::milliseconds aTook);
   void OnLoad(const std::string& aServer, const ServerLoad& aLoad);
+  // Applies a response of the server that names a rate limit, or none.
+  void OnLimit(const std::string& aServer, std::optional<double> aRate);
   // Applies the server loads in the report of another VM.
   void OnPeerLoads(const VmReport& aReport);
 
@@ -115,6 +118,8 @@
   // Mean response time of the service.
   std::chrono::milliseconds MeanResponseTime(const std::string& aService) const;
   bool MayUse(const std::string& aServer) const;
+  // The rate limit that the server names; std::nullopt while it names none.
+  std::optional<double> LimitOf(const std::string& aServer) const;
   // Writes one line of key=value pairs for each service and each server.
   void Describe(std::ostream& aInto) const;
 
@@ -150,7 +155,12 @@
 
   ServiceState& StateOf(const std::string& aService);
   Placing Choose(const DispatchRequest& aRequest, BootTime aNow);
-  void ReserveSlot(const BackendServer& aServer, BootTime aNow);
+  // `aRequest` is the request for which the slot is reserved; `aWasQueued` tells whether it was
+  // queued before.
+  void ReserveSlot(const BackendServer& aServer,
+                   const DispatchRequest& aRequest,
+                   bool aWasQueued,
+                   BootTime aNow);
   // Dispatches the requests that are queued for one server, or all when `aServer` is 0.
   void DispatchWaiters(ServiceState& aState, std::uint64_t aServer);
   // Tries to place a queued request. Returns false when the request stays queued.
--- a/src/edge/exchange.cc
+++ b/src/edge/exchange.cc
@@ -1,11 +1,13 @@
 #include "edge/exchange.h"
 
+#include "plantainhaven/common/log.h"
 #include "platform/decode.h"
 #include "platform/names.h"
 
 #include <algorithm>
 #include <charconv>
 #include <netinet/tcp.h>
+#include <string_view>
 #include <utility>
 
 namespace plantainhaven::edge {
@@ -29,6 +31,9 @@
 // partition or after a host failure.
 constexpr unsigned kUserTimeoutMs = 3000;
 
+// Longest part of a malformed field that is logged.
+constexpr std::size_t kMaxLoggedText = 40;
+
 bool
 IsTimeout(const beast::error_code& aFault)
 {
@@ -294,6 +299,9 @@
   const bool isMisdirected = this->Status() == 421;
   // On a reused connection, a statement without the request's id may belong to an earlier request.
   const bool isForThisRequest = isEchoed || !this->upstream->isReused;
+  if (isForThisRequest && !isMisdirected && !this->isOutOfSync) {
+    this->ReadLimit(isEchoed && head.find(platform::kSignatureHeader) != head.end());
+  }
   if ((statesNotExecuted || isMisdirected) && isForThisRequest && !this->isOutOfSync) {
     this->isNotExecuted = true;
     this->outcome = isMisdirected ? SendOutcome::kMisdirected : SendOutcome::kShed;
@@ -310,6 +318,29 @@
   this->outcome = this->Status() >= 500 ? SendOutcome::kFailed : SendOutcome::kServed;
 }
 
+// Only a response that the server has signed withdraws a limit by naming none: one that was
+// created in the server's place may lack the field.
+void
+Exchange::ReadLimit(bool aIsSigned)
+{
+  const ServerHead& head = this->Head();
+  const auto field = head.find(platform::kRateLimitHeader);
+  if (field == head.end()) {
+    if (aIsSigned) {
+      this->limit = LimitStatement{};
+    }
+    return;
+  }
+  const std::string_view text(field->value().data(), field->value().size());
+  if (const auto rate = platform::DecodeRate(text)) {
+    this->limit = LimitStatement{ rate };
+    return;
+  }
+  Log(LogLevel::kWarning,
+      "server_limit_unreadable",
+      { { "server", this->server.id }, { "text", text.substr(0, kMaxLoggedText) } });
+}
+
 std::optional<std::uint64_t>
 Exchange::ContentLength() const
 {
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -16,6 +16,12 @@
 using ServerHead = http::response_header<http::fields>;
 using ServerParser = http::response_parser<http::buffer_body>;
 
+// The request rate that a response names; no rate means that the server has no limit now.
+struct LimitStatement
+{
+  std::optional<double> rate;
+};
+
 // One attempt of a request at one backend server, up to the point where its response is known to
 // be usable. Short response bodies are buffered whole, so that the request can be retried when
 // the response is truncated. The rest of a longer body is read with ReadMore().
@@ -56,6 +62,8 @@
   bool IsAnswered() const { return this->isAnswered; }
   std::optional<std::uint64_t> ContentLength() const;
   std::optional<ServerLoad> Load() const { return this->load; }
+  // What the response states about the server's rate limit; nothing when it states nothing.
+  std::optional<LimitStatement> Limit() const { return this->limit; }
   // Error text for the log; empty when there was no error.
   const std::string& Fault() const { return this->errorText; }
 
@@ -72,6 +80,7 @@
   Task<beast::error_code> ReadBody();
   Task<beast::error_code> ReadPart(std::size_t aMaxBytes);
   void ClassifyResponse();
+  void ReadLimit(bool aIsSigned);
 
   asio::io_context& context;
   UpstreamPool& pool;
@@ -91,6 +100,7 @@
   bool isCancelled = false;
   bool isAnswered = false;
   std::optional<ServerLoad> load;
+  std::optional<LimitStatement> limit;
   std::string errorText;
 };
 
--- a/src/edge/request_run.cc
+++ b/src/edge/request_run.cc
@@ -269,6 +269,9 @@
   if (exchange.Load()) {
     this->state.dispatcher.OnLoad(aServer.id, *exchange.Load());
   }
+  if (exchange.Limit()) {
+    this->state.dispatcher.OnLimit(aServer.id, exchange.Limit()->rate);
+  }
   if (this->body.Fault() == http::error::body_limit) {
     end(SendOutcome::kAbandoned);
     exchange.Cancel();
@@ -427,6 +430,7 @@
         { "server_ms", ToMilliseconds(now - aSentAt).count() },
         { "running", load.running },
         { "waiting", load.waiting },
+        { "limited", this->state.dispatcher.LimitOf(aServer.id).has_value() },
         { "late", now > this->dispatchRequest.objectiveAt } });
 }
 
--- a/src/policy/placing/placement.cc
+++ b/src/policy/placing/placement.cc
@@ -607,6 +607,20 @@
   }
 }
 
+bool
+Placement::OnLimit(const std::string& aServer, std::optional<double> aRate, BootTime aNow)
+{
+  ServerRecord* const record = this->impl->Find(aServer);
+  return record != nullptr && record->OnLimit(aRate, aNow);
+}
+
+std::optional<double>
+Placement::LimitOf(const std::string& aServer) const
+{
+  const ServerRecord* const record = this->impl->Find(aServer);
+  return record == nullptr ? std::nullopt : record->Limit().Rate();
+}
+
 std::vector<RegionState>
 Placement::Regions(const std::string& aService, BootTime aNow) const
 {
--- a/src/policy/placing/server_record.cc
+++ b/src/policy/placing/server_record.cc
@@ -150,6 +150,12 @@
   this->peerRequestsAt = aNow;
 }
 
+bool
+ServerRecord::OnLimit(std::optional<double> aRate, BootTime aStatedAt)
+{
+  return this->limit.OnStatement(aRate, aStatedAt);
+}
+
 double
 ServerRecord::LoadAt(double aMeanResponseTime, BootTime aNow) const
 {
--- a/src/policy/placing/server_record.h
+++ b/src/policy/placing/server_record.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "plantainhaven/common/time.h"
+#include "plantainhaven/policy/placing/named_limit.h"
 #include "plantainhaven/policy/placing/placement.h"
 #include "plantainhaven/policy/placing/routing.h"
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 namespace plantainhaven::placing {
 
@@ -39,6 +41,10 @@
     return aNow >= this->coldSentAt + aInterval;
   }
 
+  const NamedLimit& Limit() const { return this->limit; }
+  // Applies a response that names a rate limit, or none. Returns whether the limit has changed.
+  bool OnLimit(std::optional<double> aRate, BootTime aStatedAt);
+
   const BackendServer& Entry() const { return this->entry; }
   std::uint64_t Hash() const { return this->hash; }
   // Whether the server's failure domain is being drained.
@@ -64,6 +70,7 @@
   BootTime coldUntil{};
   BootTime coldSentAt{};
   BootTime brokenAt{};
+  NamedLimit limit;
 };
 
 } // namespace plantainhaven::placing
--- a/test/adapter/decode_test.cc
+++ b/test/adapter/decode_test.cc
@@ -152,6 +152,26 @@
   }
 }
 
+TEST_CASE("A rate is one nonnegative decimal number")
+{
+  struct Case
+  {
+    const char* text;
+    std::optional<double> expected;
+  };
+  const Case cases[] = {
+    { "11.2", 11.2 }, { "3", 3.0 },          { "0", 0.0 },           { ".5", 0.5 },
+    { "", {} },       { "-1", {} },          { "1,5", {} },          { "1 ", {} },
+    { "inf", {} },    { "nan", {} },         { "1e3", {} },          { "+4", {} },
+  };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.text);
+    const std::optional<double> rate = DecodeRate(entry.text);
+    CHECK(rate.has_value() == entry.expected.has_value());
+    CHECK(rate.value_or(0) == Approx(entry.expected.value_or(0)));
+  }
+}
+
 TEST_CASE("Bounds are read by name and unknown ones passed over")
 {
   const auto bounds = ParseBounds({ "grace_s=4.5", "novel=abc", "max_shift=0.2" });
