--- a/test/adapter/decode_test.cc
+++ b/test/adapter/decode_test.cc
@@ -160,9 +160,8 @@
     std::optional<double> expected;
   };
   const Case cases[] = {
-    { "11.2", 11.2 }, { "3", 3.0 },          { "0", 0.0 },           { ".5", 0.5 },
-    { "", {} },       { "-1", {} },          { "1,5", {} },          { "1 ", {} },
-    { "inf", {} },    { "nan", {} },         { "1e3", {} },          { "+4", {} },
+    { "11.2", 11.2 }, { "3", 3.0 }, { "0", 0.0 },  { ".5", 0.5 }, { "", {} },    { "-1", {} },
+    { "1,5", {} },    { "1 ", {} }, { "inf", {} }, { "nan", {} }, { "1e3", {} }, { "+4", {} },
   };
   for (const Case& entry : cases) {
     CAPTURE(entry.text);
--- a/test/edge/one_vm.h
+++ b/test/edge/one_vm.h
@@ -92,6 +92,69 @@
   return { "HTTP/1.1 200 OK\r\n" + IdLine(aRequest) + kSignatureLine + "\r\nwhole", true };
 }
 
+// Two routes of one service and two accounts.
+inline RoutingPtr
+MakeTestRouting()
+{
+  auto routing = std::make_shared<Routing>();
+  routing->version = 1;
+  routing->limits.maxBodyBytes = 1 << 20;
+  Route read;
+  read.name = "read";
+  read.prefix = "/read/";
+  read.isIdempotent = true;
+  read.timeout = std::chrono::milliseconds(1000);
+  read.latencyObjective = std::chrono::milliseconds(300);
+  read.maxAttempts = 2;
+  read.targets = { { "portal", 1.0 } };
+  Route book = read;
+  book.name = "book";
+  book.prefix = "/book/";
+  book.isIdempotent = false;
+  routing->AddRoute("shop.example", read);
+  routing->AddRoute("shop.example", book);
+  Account account;
+  account.name = "shop";
+  Account limitedAccount;
+  limitedAccount.name = "poor";
+  limitedAccount.rate = 0.001;
+  limitedAccount.burst = 1;
+  routing->accounts = { account, limitedAccount };
+  routing->AddKey("key-1", 0);
+  routing->AddKey("key-2", 1);
+  return routing;
+}
+
+// A backend server of service "portal" at the fake server's port.
+inline BackendServer
+MakeTestServer(const std::string& aId, const FakeServer& aServer)
+{
+  BackendServer server;
+  server.id = aId;
+  server.service = "portal";
+  server.address = "127.0.0.1";
+  server.port = aServer.Port();
+  server.region = "north";
+  server.failureDomain = "north-a";
+  server.slots = 4;
+  return server;
+}
+
+// Sets the name, region and listeners of a VM on loopback and returns the port for callers.
+inline std::uint16_t
+SetUpVm(EdgedSettings& aSettings, const std::string& aName)
+{
+  aSettings.mutable_vm()->set_name(aName);
+  aSettings.mutable_vm()->set_address("127.0.0.1");
+  aSettings.mutable_vm()->set_region("north");
+  const std::uint16_t callersPort = FreePort();
+  auto* const listen = aSettings.mutable_listen();
+  listen->set_callers("127.0.0.1:" + std::to_string(callersPort));
+  listen->set_readiness("127.0.0.1:" + std::to_string(FreePort()));
+  listen->set_lookups("127.0.0.1:" + std::to_string(FreePort()));
+  return callersPort;
+}
+
 // A VM with two backend servers of one service, two routes and two accounts.
 class OneVm
 {
@@ -100,14 +163,7 @@
     : first(Served)
     , second(Served)
   {
-    this->settings.mutable_vm()->set_name("vm-1");
-    this->settings.mutable_vm()->set_address("127.0.0.1");
-    this->settings.mutable_vm()->set_region("north");
-    this->callersPort = FreePort();
-    auto* const listen = this->settings.mutable_listen();
-    listen->set_callers("127.0.0.1:" + std::to_string(this->callersPort));
-    listen->set_readiness("127.0.0.1:" + std::to_string(FreePort()));
-    listen->set_lookups("127.0.0.1:" + std::to_string(FreePort()));
+    this->callersPort = SetUpVm(this->settings, "vm-1");
     this->traffic = std::make_unique<Traffic>(
       this->context,
       this->settings,
@@ -116,11 +172,10 @@
       [](const std::string&, const Envelope&) {},
       [](const VmReport&) {});
     this->traffic->Start();
-    this->traffic->SetRouting(MakeRouting());
+    this->traffic->SetRouting(MakeTestRouting());
     this->traffic->SetQuotaRange({ 0, kQuotaRingSize });
     this->traffic->SetServers(
-      { this->MakeServer("s1", this->first), this->MakeServer("s2", this->second) },
-      BootClock::Now());
+      { MakeTestServer("s1", this->first), MakeTestServer("s2", this->second) }, BootClock::Now());
     this->thread = std::thread([this] { this->context.run(); });
   }
 
@@ -219,7 +274,7 @@
   // Replaces the VM's backend servers by a single one at this port.
   void UseServerAt(std::uint16_t aPort)
   {
-    BackendServer server = this->MakeServer("s3", this->first);
+    BackendServer server = MakeTestServer("s3", this->first);
     server.port = aPort;
     asio::post(this->context,
                [this, server] { this->traffic->SetServers({ server }, BootClock::Now()); });
@@ -257,50 +312,6 @@
   }
 
 private:
-  static RoutingPtr MakeRouting()
-  {
-    auto routing = std::make_shared<Routing>();
-    routing->version = 1;
-    routing->limits.maxBodyBytes = 1 << 20;
-    Route read;
-    read.name = "read";
-    read.prefix = "/read/";
-    read.isIdempotent = true;
-    read.timeout = std::chrono::milliseconds(1000);
-    read.latencyObjective = std::chrono::milliseconds(300);
-    read.maxAttempts = 2;
-    read.targets = { { "portal", 1.0 } };
-    Route book = read;
-    book.name = "book";
-    book.prefix = "/book/";
-    book.isIdempotent = false;
-    routing->AddRoute("shop.example", read);
-    routing->AddRoute("shop.example", book);
-    Account account;
-    account.name = "shop";
-    Account limitedAccount;
-    limitedAccount.name = "poor";
-    limitedAccount.rate = 0.001;
-    limitedAccount.burst = 1;
-    routing->accounts = { account, limitedAccount };
-    routing->AddKey("key-1", 0);
-    routing->AddKey("key-2", 1);
-    return routing;
-  }
-
-  BackendServer MakeServer(const std::string& aId, const FakeServer& aServer) const
-  {
-    BackendServer server;
-    server.id = aId;
-    server.service = "portal";
-    server.address = "127.0.0.1";
-    server.port = aServer.Port();
-    server.region = "north";
-    server.failureDomain = "north-a";
-    server.slots = 4;
-    return server;
-  }
-
   EdgedSettings settings;
   Metrics metrics;
   FakeServer first;
