Keep the rate that a backend server names over all VMs together

Cause: a server tells its limit to the VM that sent the request, and it binds all VMs; no VM acted on it, and nothing told the others.

Why this works: what a server states is kept with its time (NamedLimit), told to all VMs at once and again with each report, and lost only when the server states otherwise or restarts. The rate is divided without messages (RateSharing): the VMs of the server's region that rank first for it may each use an equal part. The divisor is the fleet as the store lists it or as it was ever heard (FleetRoster), not the VMs that are heard now, so that VMs that are cut off from one another, freeze or can't reach the store keep to the same parts. The parts are taken in Placement::Choose, through which first attempts, retries and queued requests all go. A server without a token is passed over, so that its requests go to servers with room; when all are, the request is refused at once with the time until a token (server_limit). The region plan counts only the slots that a limit lets be in use. A limit about which nothing was heard for 5 s is tried by one VM in turn, a fleet's one request in 2 s, so that its end is noticed.

--- a/include/plantainhaven/policy/placing/placement.h
+++ b/include/plantainhaven/policy/placing/placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "plantainhaven/common/time.h"
+#include "plantainhaven/policy/placing/rate_sharing.h"
 #include "plantainhaven/policy/placing/region_plan.h"
 #include "plantainhaven/policy/placing/routing.h"
 
@@ -52,6 +53,7 @@
 {
   kSend,     // `server` has a free slot.
   kBusy,     // Usable servers exist, but none has a free slot now.
+  kLimited,  // The usable servers name rate limits, and this VM's parts of them are used up.
   kNoServer, // No server is usable.
 };
 
@@ -61,13 +63,19 @@
   // The server to use, or with kBusy the one for which the request should wait; null if there
   // is none. Valid until the next change of the placement.
   const BackendServer* server = nullptr;
+  // With kLimited: the time until a rate limit admits a request.
+  std::chrono::milliseconds retryAfter{ 0 };
 };
 
-// A VM that sends requests, for dividing the request rate of cold servers.
-struct PlacingPeer
+// The rate limit of a backend server as this VM knows it, for reports to other VMs.
+struct KnownLimit
 {
-  std::string name;
-  std::string region;
+  // Hash of the server's id.
+  std::uint64_t server = 0;
+  // Requests per second of all VMs together; std::nullopt if the limit was withdrawn.
+  std::optional<double> rate;
+  // When the server last stated this.
+  BootTime statedAt{};
 };
 
 // This VM's current view of a backend server.
@@ -87,8 +95,9 @@
 // Chooses backend servers by rendezvous hashing. All VMs of a region send requests for an
 // object to the same server, which handles objects faster that it has seen recently. An object
 // whose load is too large for one server is spread over the next servers in its rank order.
-// Failing and slow servers get fewer requests. Cold servers get no more than their warm-up rate,
-// summed over all VMs. Not thread-safe; reads no clock.
+// Failing and slow servers get fewer requests. Cold servers get no more than their warm-up rate and
+// servers that name a rate limit no more than that, summed over all VMs. Not thread-safe; reads no
+// clock.
 class Placement
 {
 public:
@@ -104,8 +113,11 @@
   void SetServices(const std::unordered_map<std::string, Service>& aServices);
   // Sets the failure domains that are being drained.
   void SetAvoidedDomains(const std::vector<std::string>& aDomains, BootTime aNow);
-  // Sets all VMs that may send requests, including this one.
-  void SetPeers(std::vector<PlacingPeer> aPeers);
+  // Sets the VMs that are heard, including this one; callers choose among them.
+  void SetPeers(const std::vector<PlacingPeer>& aPeers);
+  // Sets all VMs of the fleet, whether or not they are heard: they share the rates of cold and of
+  // limited servers.
+  void SetFleet(const std::vector<PlacingPeer>& aVms);
   // Sets how requests for a service that arrive at this VM are split between regions.
   void SetPlan(const std::string& aService, std::vector<RegionShare> aPlan);
   // Sets whether all regions together have spare capacity. If so, requests may spill over from
@@ -130,6 +142,10 @@
   // Records that a response of the server named a rate limit for all VMs together, in requests
   // per second, or none. Returns whether the limit has changed.
   bool OnLimit(const std::string& aServer, std::optional<double> aRate, BootTime aNow);
+  // Records a rate limit that another VM knows. Returns whether the limit has changed.
+  bool OnPeerLimit(const KnownLimit& aLimit, BootTime aNow);
+  // Returns the limits that servers name, and those that were withdrawn a short time ago.
+  std::vector<KnownLimit> KnownLimits(BootTime aNow) const;
   // The rate limit that the server names; std::nullopt while it names none.
   std::optional<double> LimitOf(const std::string& aServer) const;
 
--- a/src/edge/dispatcher.cc
+++ b/src/edge/dispatcher.cc
@@ -28,6 +28,9 @@
 // Response size averages that are kept for each route of the current configuration. Routes that
 // were removed from the configuration leave their averages behind; the limit bounds their number.
 constexpr std::size_t kMaxMeansPerRoute = 4;
+// Upper bound of the time that a report takes to another VM, so that what a server told this VM
+// itself isn't taken for older.
+constexpr std::chrono::milliseconds kReportTransitTime{ 100 };
 // A region plan is logged again after this fraction of the requests has moved.
 constexpr double kMinLoggedChange = 0.05;
 
@@ -40,14 +43,13 @@
 }
 
 void
-LogLimit(const std::string& aServer, std::optional<double> aRate, std::string_view aSource)
+LogLimit(const std::string& aServer, std::optional<double> aRate)
 {
   Log(LogLevel::kInfo,
       "server_limit",
       { { "server", aServer },
         { "state", aRate ? "named" : "withdrawn" },
-        { "per_s", aRate.value_or(0) },
-        { "source", aSource } });
+        { "per_s", aRate.value_or(0) } });
 }
 
 } // namespace
@@ -60,6 +62,8 @@
       return "no_server";
     case DispatchFailureReason::kNoCapacity:
       return "no_room";
+    case DispatchFailureReason::kServerLimit:
+      return "server_limit";
     case DispatchFailureReason::kCallerDisconnected:
       return "caller_left";
   }
@@ -104,13 +108,19 @@
 }
 
 void
-Dispatcher::SetPeers(std::vector<PlacingPeer> aPeers)
+Dispatcher::SetPeers(const std::vector<PlacingPeer>& aPeers)
 {
-  const double capacity = placing::RetryBurst(this->options.retrySlack, aPeers.size());
+  this->placement.SetPeers(aPeers);
+  this->fleetSize = std::max<std::size_t>(1, aPeers.size());
   for (auto& [name, state] : this->services) {
-    state.retries.SetCapacity(capacity);
+    state.retries.SetCapacity(this->RetryCapacity());
   }
-  this->placement.SetPeers(std::move(aPeers));
+}
+
+void
+Dispatcher::SetFleet(const std::vector<PlacingPeer>& aVms)
+{
+  this->placement.SetFleet(aVms);
 }
 
 void
@@ -138,7 +148,8 @@
 Dispatcher::ServiceState&
 Dispatcher::StateOf(const std::string& aService)
 {
-  return this->services.try_emplace(aService, this->options).first->second;
+  return this->services.try_emplace(aService, this->options.retryRatio, this->RetryCapacity())
+    .first->second;
 }
 
 Placing
@@ -162,9 +173,8 @@
 {
   if (this->placement.LimitOf(aServer.id)) {
     const char* const kind = aWasQueued ? "queued" : "first";
-    this->metrics.Count("plantainhaven_limited_sends_total",
-                        "kind",
-                        aRequest.excluded.empty() ? kind : "retry");
+    this->metrics.Count(
+      "plantainhaven_limited_sends_total", "kind", aRequest.excluded.empty() ? kind : "retry");
   }
   this->placement.OnSent(aServer.id, aNow);
   ++this->StateOf(aServer.service).inFlight;
@@ -180,6 +190,9 @@
   if (placing.state == PlacingState::kNoServer) {
     co_return DispatchFailure{ DispatchFailureReason::kNoServer, kNoServerRetryAfter };
   }
+  if (placing.state == PlacingState::kLimited) {
+    co_return DispatchFailure{ DispatchFailureReason::kServerLimit, placing.retryAfter };
+  }
   if (placing.state == PlacingState::kSend) {
     this->ReserveSlot(*placing.server, aRequest, false, now);
     co_return *placing.server;
@@ -254,14 +267,20 @@
 Dispatcher::OnLimit(const std::string& aServer, std::optional<double> aRate)
 {
   if (this->placement.OnLimit(aServer, aRate, BootClock::Now())) {
-    LogLimit(aServer, aRate, "response");
+    LogLimit(aServer, aRate);
+    this->hasLimitNews = true;
   }
 }
 
 void
-Dispatcher::OnPeerLoads(const VmReport& aReport)
+Dispatcher::OnPeerReport(const VmReport& aReport)
 {
   const BootTime now = BootClock::Now();
+  for (const SeenLimit& limit : aReport.limits()) {
+    const auto age = std::chrono::milliseconds(limit.age_ms()) + kReportTransitTime;
+    const auto rate = limit.is_limited() ? std::optional(limit.rate()) : std::nullopt;
+    this->placement.OnPeerLimit({ limit.server(), rate, now - age }, now);
+  }
   for (const SeenLoad& load : aReport.loads()) {
     this->placement.OnPeerLoad(load.server(), static_cast<int>(load.requests()), now);
   }
@@ -303,6 +322,11 @@
                        DispatchFailure{ DispatchFailureReason::kNoServer, kNoServerRetryAfter });
     return true;
   }
+  if (placing.state == PlacingState::kLimited) {
+    this->CompleteWait(aId,
+                       DispatchFailure{ DispatchFailureReason::kServerLimit, placing.retryAfter });
+    return true;
+  }
   const BackendServer server = *placing.server;
   this->ReserveSlot(server, aWaiting.request, true, aNow);
   this->CompleteWait(aId, server);
@@ -428,6 +452,14 @@
     load->set_requests(static_cast<std::uint32_t>(requests));
   }
   this->reportedLoads.clear();
+  const BootTime now = BootClock::Now();
+  for (const placing::KnownLimit& known : this->placement.KnownLimits(now)) {
+    SeenLimit* const limit = aReport.add_limits();
+    limit->set_server(known.server);
+    limit->set_is_limited(known.rate.has_value());
+    limit->set_rate(known.rate.value_or(0));
+    limit->set_age_ms(static_cast<std::uint32_t>(ToMilliseconds(now - known.statedAt).count()));
+  }
   aReport.set_configuration_version(this->routing == nullptr ? 0 : this->routing->version);
 }
 
--- a/src/edge/dispatcher.h
+++ b/src/edge/dispatcher.h
@@ -15,6 +15,7 @@
 #include <ostream>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -53,6 +54,7 @@
 {
   kNoServer,           // No backend server is eligible.
   kNoCapacity,         // No slot is expected to become free in time.
+  kServerLimit,        // The rate limits of all eligible servers are used up.
   kCallerDisconnected, // The caller closed its connection while the request was queued.
 };
 
@@ -82,7 +84,11 @@
   void SetOptions(DispatcherOptions aOptions);
   void SetServers(const std::vector<BackendServer>& aServers, BootTime aReadAt);
   void SetAvoidedDomains(const std::vector<std::string>& aDomains);
-  void SetPeers(std::vector<PlacingPeer> aPeers);
+  // Sets the VMs that are heard, this one included.
+  void SetPeers(const std::vector<PlacingPeer>& aPeers);
+  // Sets all VMs of the fleet, whether or not they are heard. They share what is limited for the
+  // fleet as a whole.
+  void SetFleet(const std::vector<PlacingPeer>& aVms);
   // Sets the demand of all other VMs, by service and region.
   void SetPeerDemand(std::map<std::string, std::map<std::string, double>> aDemand);
   // Adopts the region plan of another VM of the same region, unless this VM already has one.
@@ -100,8 +106,11 @@
   void OnLoad(const std::string& aServer, const ServerLoad& aLoad);
   // Applies a response of the server that names a rate limit, or none.
   void OnLimit(const std::string& aServer, std::optional<double> aRate);
-  // Applies the server loads in the report of another VM.
-  void OnPeerLoads(const VmReport& aReport);
+  // Applies the server loads and rate limits in the report of another VM.
+  void OnPeerReport(const VmReport& aReport);
+  // Whether a server has changed its rate limit since the last call, by a response to this VM: the
+  // other VMs should learn of it at once.
+  bool TakeLimitNews() { return std::exchange(this->hasLimitNews, false); }
 
   // Adds the size of a response body to the route's moving average.
   void OnResponseBytes(const std::string& aRoute, std::uint64_t aBytes);
@@ -139,8 +148,8 @@
   };
   struct ServiceState
   {
-    explicit ServiceState(const DispatcherOptions& aOptions)
-      : retries(aOptions.retryRatio, placing::RetryBurst(aOptions.retrySlack, 1))
+    ServiceState(double aRetryRatio, double aRetryCapacity)
+      : retries(aRetryRatio, aRetryCapacity)
     {
     }
     WaitQueue queue;
@@ -165,6 +174,10 @@
   void DispatchWaiters(ServiceState& aState, std::uint64_t aServer);
   // Tries to place a queued request. Returns false when the request stays queued.
   bool TryDispatch(std::uint64_t aId, Waiting& aWaiting, BootTime aNow);
+  double RetryCapacity() const
+  {
+    return placing::RetryBurst(this->options.retrySlack, this->fleetSize);
+  }
   void RejectExpired(const std::string& aService, ServiceState& aState);
   void CompleteWait(std::uint64_t aWaiter, DispatchResult aResult);
   static void LogPlan(const std::string& aService,
@@ -183,6 +196,9 @@
   // Moving average of the bytes in a response, by route.
   std::map<std::string, double> responseBytes;
   std::uint64_t nextWaiter = 1;
+  bool hasLimitNews = false;
+  // VMs among which the fleet's retry slack is divided.
+  std::size_t fleetSize = 1;
   // Requests running or queued at each server, as reported by its responses since this VM's last
   // report, by the hash of the server's id.
   std::unordered_map<std::uint64_t, int> reportedLoads;
--- a/src/edge/edge_program.cc
+++ b/src/edge/edge_program.cc
@@ -213,7 +213,7 @@
              [this](QuotaRange aRange) {
                this->OnTraffic([this, aRange] { this->traffic.SetQuotaRange(aRange); });
              },
-           .onRegionalReport =
+           .onServerNews =
              [this](VmReport aReport) {
                this->OnTraffic(
                  [this, report = std::move(aReport)] { this->traffic.OnPeerReport(report); });
--- a/src/edge/fleet.cc
+++ b/src/edge/fleet.cc
@@ -58,6 +58,21 @@
   aRecord.set_quota_end(aRange.end);
 }
 
+// Whether a report names other rate limits of backend servers than the report before.
+bool
+HasLimitNews(const VmReport& aReport, const VmReport& aPrevious)
+{
+  return !std::equal(aReport.limits().begin(),
+                     aReport.limits().end(),
+                     aPrevious.limits().begin(),
+                     aPrevious.limits().end(),
+                     [](const SeenLimit& aLeft, const SeenLimit& aRight) {
+                       return aLeft.server() == aRight.server() &&
+                              aLeft.is_limited() == aRight.is_limited() &&
+                              aLeft.rate() == aRight.rate();
+                     });
+}
+
 std::uint64_t
 NewIncarnation()
 {
@@ -117,6 +132,7 @@
 {
   const bool isStateChange =
     aReport.ready() != this->ownReport.ready() || aReport.leaving() != this->ownReport.leaving();
+  const bool hasLimitNews = HasLimitNews(aReport, this->ownReport);
   aReport.set_callers(this->settings.listen().callers());
   aReport.set_region(this->settings.vm().region());
   aReport.set_failure_domain(this->settings.vm().failure_domain());
@@ -125,7 +141,8 @@
   aReport.set_quota_end(this->ownRange.end);
   this->ownReport = std::move(aReport);
   this->ResetSilentLinks();
-  const bool isRemoteTurn = isStateChange || this->reportCount++ % kReportsPerRemoteReport == 0;
+  const bool isRemoteTurn =
+    isStateChange || hasLimitNews || this->reportCount++ % kReportsPerRemoteReport == 0;
   for (auto& [name, member] : this->members) {
     if (isRemoteTurn || this->IsSameRegion(member) || member.linkWatch.NeedsResend()) {
       this->SendReport(member, false);
@@ -273,12 +290,13 @@
   }
   member.report = report;
   member.heardAt = now;
+  this->roster.OnHeard(aMessage.from(), report.region(), now);
   member.linkWatch.OnReport(!report.misses_receiver());
   if (report.introduction()) {
     this->SendReport(member, false);
   }
-  if (report.loads_size() > 0) {
-    this->listener.onRegionalReport(report);
+  if (report.loads_size() > 0 || report.limits_size() > 0) {
+    this->listener.onServerNews(report);
   }
   if (isStateChange) {
     this->PublishView();
@@ -309,6 +327,8 @@
   const BootTime now = BootClock::Now();
   const auto& vm = this->settings.vm();
   view.senders.push_back({ this->self, vm.region() });
+  view.members = this->roster.Members(now);
+  view.members.push_back({ this->self, vm.region() });
   if (this->ownReport.ready()) {
     view.entries.push_back(
       { this->self, this->settings.listen().callers(), vm.region(), vm.failure_domain() });
@@ -437,6 +457,7 @@
       continue;
     }
     Member& member = this->members[row.key];
+    this->roster.OnListed(row.key, record.region(), BootClock::Now());
     member.rowVersion = row.version;
     member.isCurrentEra = this->era <= kFirstEra || record.era() == this->era;
     const bool keepsClaim = !member.isCurrentEra && member.report.tells_quota();
--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -6,6 +6,7 @@
 #include "plantainhaven/common/metrics.h"
 #include "plantainhaven/fleet/peer_link.h"
 #include "plantainhaven/policy/placing/connection_watchdog.h"
+#include "plantainhaven/policy/placing/fleet_roster.h"
 #include "plantainhaven/policy/placing/quota_ring.h"
 #include "platform/store_client.h"
 
@@ -25,8 +26,8 @@
 {
   std::function<void(FleetView)> onView;
   std::function<void(QuotaRange)> onQuotaRange;
-  // A report of a VM in this region, for the traffic thread.
-  std::function<void(VmReport)> onRegionalReport;
+  // A report that tells loads or rate limits of backend servers, for the traffic thread.
+  std::function<void(VmReport)> onServerNews;
   // Rows of the store that a VM in this region has read.
   std::function<void(const std::string& aFrom, const TableNews&)> onTableUpdate;
   // Requests for tokens and grants, for the traffic thread.
@@ -114,6 +115,7 @@
   std::uint64_t incarnation = 0;
   // All VMs that have a row or have sent a report, this one excluded.
   std::map<std::string, Member> members;
+  placing::FleetRoster roster;
   // Version of this VM's row as last read or written; 0 if there is none.
   std::uint64_t ownVersion = 0;
   QuotaRange ownRange;
--- a/src/edge/traffic.cc
+++ b/src/edge/traffic.cc
@@ -19,6 +19,8 @@
 constexpr std::chrono::milliseconds kTickInterval{ 10 };
 constexpr int kTicksPerTokenUpdate = 5;
 constexpr int kTicksPerIdleSweep = 50;
+// Minimum time between a report and the next one that is due to news of a server's rate limit.
+constexpr std::chrono::milliseconds kMinReportInterval{ 100 };
 constexpr std::chrono::milliseconds kAcceptPause{ 20 };
 // Validity of a look-up: callers stop using a VM at most this long after it announces that it
 // leaves.
@@ -141,7 +143,7 @@
   for (int tick = 1;; ++tick) {
     co_await Sleep(timer, kTickInterval);
     this->dispatcher.Tick();
-    if (this->IsReady() != this->wasReady) {
+    if (this->IsReady() != this->wasReady || this->IsLimitNewsDue()) {
       this->PublishReport();
     }
     if (tick % kTicksPerTokenUpdate == 0) {
@@ -164,9 +166,17 @@
   }
 }
 
+bool
+Traffic::IsLimitNewsDue()
+{
+  return BootClock::Now() - this->reportedAt >= kMinReportInterval &&
+         this->dispatcher.TakeLimitNews();
+}
+
 void
 Traffic::PublishReport()
 {
+  this->reportedAt = BootClock::Now();
   this->wasReady = this->IsReady();
   VmReport report;
   report.set_ready(this->wasReady);
@@ -241,6 +251,7 @@
   this->fleet = std::move(aFleet);
   this->tokens.SetHolders(this->fleet.holders);
   this->dispatcher.SetPeers(this->fleet.senders);
+  this->dispatcher.SetFleet(this->fleet.members);
   this->dispatcher.SetPeerDemand(this->fleet.demand);
   for (const auto& [service, plan] : this->fleet.plans) {
     this->dispatcher.AdoptPlan(service, plan);
--- a/src/edge/traffic.h
+++ b/src/edge/traffic.h
@@ -29,8 +29,10 @@
   bool canAcquireTokens = false;
   // VMs that accept requests of callers, this one included while it is ready.
   std::vector<EntryVm> entries;
-  // VMs that may send requests to backend servers, this one included.
+  // VMs that are heard, this one included.
   std::vector<PlacingPeer> senders;
+  // All VMs of the fleet, this one included, whether or not they are heard.
+  std::vector<PlacingPeer> members;
   // The other VMs that are alive, with their ranges of the quota.
   std::vector<QuotaHolder> holders;
   // Demand of the other VMs by service and region, in concurrent requests.
@@ -64,7 +66,7 @@
   void SetServers(const std::vector<BackendServer>& aServers, BootTime aReadAt);
   void SetAvoidedDomains(const std::vector<std::string>& aDomains);
   void SetFleet(FleetView aFleet);
-  void OnPeerReport(const VmReport& aReport) { this->dispatcher.OnPeerLoads(aReport); }
+  void OnPeerReport(const VmReport& aReport) { this->dispatcher.OnPeerReport(aReport); }
   void SetQuotaRange(const QuotaRange& aRange);
   TokenBroker& Tokens() { return this->tokens; }
 
@@ -73,6 +75,8 @@
   Task<void> RunTicks();
   Task<void> RunReports();
   void PublishReport();
+  // Whether other VMs must learn of a server's changed rate limit before the next regular report.
+  bool IsLimitNewsDue();
   Task<void> RunStop(std::function<void()> aOnStopped);
   SimpleResponse AnswerLookup(std::string_view aTarget) const;
   bool IsReady() const;
@@ -92,6 +96,7 @@
   BootTime configuredAt{};
   // Readiness in the last report.
   bool wasReady = false;
+  BootTime reportedAt{};
 };
 
 } // namespace plantainhaven::edge
--- a/src/policy/placing/placement.cc
+++ b/src/policy/placing/placement.cc
@@ -9,6 +9,7 @@
 #include <cmath>
 #include <limits>
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -37,6 +38,18 @@
 // While there is spare capacity, requests spill over from a full region as long as at most this
 // fraction of the requests changes its region. Changes of the plan may move as much again.
 constexpr double kMaxSpilloverShift = 0.06;
+// Lower bound of a rate limit in requests per second. Without any request, the VMs wouldn't learn
+// that the limit has ended.
+constexpr double kMinLimit = 0.25;
+// VMs that share a rate limit at least, and the time for which a VM may save up tokens.
+constexpr std::size_t kMinLimitSenders = 4;
+constexpr Seconds kLimitBurstTime{ 0.5 };
+// A limit about which nothing was heard for this long may have ended: the VMs try one request in
+// turn, at this interval.
+constexpr std::chrono::seconds kLimitSilence{ 5 };
+constexpr std::chrono::seconds kLimitProbeInterval{ 2 };
+// Withdrawn limits are reported to other VMs for this long.
+constexpr std::chrono::seconds kWithdrawalReportTime{ 10 };
 constexpr std::uint64_t kPositionSalt = 0x5bd1e9955bd1e995ULL;
 
 struct ServiceRecord
@@ -73,6 +86,24 @@
   return sum;
 }
 
+// The number of VMs that share a rate limit. More VMs use it better, but each of them may send one
+// request at once.
+std::size_t
+LimitSenders(double aRate)
+{
+  return kMinLimitSenders + static_cast<std::size_t>(aRate);
+}
+
+// The slots of a server that its rate limit lets be in use at once.
+double
+SlotsWithinLimit(const ServerRecord& aRecord, double aMeanResponseTime)
+{
+  const double slots = aRecord.Entry().slots;
+  const std::optional<double> rate = aRecord.Limit().Rate();
+  const Seconds mean = std::chrono::duration<double, std::milli>(aMeanResponseTime);
+  return rate && aMeanResponseTime > 0 ? std::min(slots, *rate * mean.count()) : slots;
+}
+
 // A server with its rank for an object; the highest rank comes first.
 struct Ranked
 {
@@ -94,15 +125,12 @@
   if (aRecord.IsEjected(aNow)) {
     return "failing";
   }
+  if (aRecord.Limit().Rate()) {
+    return "limited";
+  }
   return aRecord.IsCold(aNow) ? "cold" : "ready";
 }
 
-struct Sender
-{
-  PlacingPeer peer;
-  std::uint64_t hash = 0;
-};
-
 // Maps an object to a position from 0 to 1 for the split between regions.
 double
 PositionOf(std::uint64_t aObject)
@@ -115,6 +143,14 @@
 
 struct Placement::Impl
 {
+  Impl(std::string aSelf, std::string aRegion, std::string aFailureDomain)
+    : region(std::move(aRegion))
+    , failureDomain(std::move(aFailureDomain))
+    , heardSharing(aSelf, this->region)
+    , sharing(aSelf, this->region)
+  {
+  }
+
   ServerRecord* Find(const std::string& aServer);
   double MeanResponseTime(std::string_view aService) const;
   // Rebuilds the lookup tables of the servers.
@@ -122,14 +158,23 @@
   // Checks what changes with time: the server isn't ejected, and if it is cold, this VM is one
   // of its warm-up senders.
   bool IsUsableNow(const ServerRecord& aRecord, BootTime aNow);
-  bool IsWarmupSender(const ServerRecord& aRecord);
-  bool ComputeIsWarmupSender(const ServerRecord& aRecord) const;
-  bool HasLocalSender(const std::string& aRegion) const;
-  std::chrono::nanoseconds WarmupInterval(const ServerRecord& aRecord) const;
-  std::size_t WarmupSenderCount(const ServerRecord& aRecord) const;
-  bool HasCapacity(const ServerRecord& aRecord, double aMeanResponseTime, BootTime aNow) const;
+  // This VM's part of the rate at which a cold server takes requests; std::nullopt if the service
+  // names none.
+  std::optional<RateShare> WarmupShare(const ServerRecord& aRecord);
+  // This VM's part of the rate limit that the server names.
+  RateShare LimitShare(const ServerRecord& aRecord);
+  // Whether the server's rate limit admits a request of this VM now.
+  bool IsWithinLimit(const ServerRecord& aRecord, BootTime aNow);
+  // Whether this VM may find out if a limit still applies about which nothing was heard lately.
+  bool IsLimitProbeDue(const ServerRecord& aRecord, BootTime aNow);
+  // Takes the tokens of a request that is sent to a cold or limited server.
+  void TakeTokens(ServerRecord& aRecord, BootTime aNow);
+  // The time until the server's rate limit is likely to admit a request.
+  std::chrono::milliseconds TimeToLimitToken(const ServerRecord& aRecord, BootTime aNow);
+  bool HasCapacity(const ServerRecord& aRecord, double aMeanResponseTime, BootTime aNow);
   std::vector<std::string> RegionOrder(const PlacingRequest& aRequest) const;
-  // Fills `ranked` with the usable servers of the region and their ranks for the object.
+  // Fills `ranked` with the usable servers of the region and their ranks for the object. A server
+  // that this VM leaves out because of its rate limit sets `limitRetryAfter`.
   void Rank(const PlacingRequest& aRequest, const std::string& aRegion, BootTime aNow);
   // Chooses a server in a region that is below its planned fraction, for a request whose own
   // region is full. This keeps the distribution near the plan; otherwise it would change
@@ -151,8 +196,6 @@
                          const ServerRecord& aFirst,
                          BootTime aNow) const;
 
-  std::string self;
-  std::uint64_t selfHash = 0;
   std::string region;
   std::string failureDomain;
   std::map<std::string, ServerRecord> servers;
@@ -162,10 +205,12 @@
   std::set<std::string> regions;
   RegionMix mix;
   ObjectLoad objectLoad;
-  std::vector<Sender> senders;
-  std::map<std::string, std::size_t> sendersByRegion;
-  // Cached results of IsWarmupSender() by server hash; cleared when servers or senders change.
-  std::unordered_map<std::uint64_t, bool> warmupSenders;
+  // VMs that are heard, by region.
+  std::map<std::string, std::size_t> peersByRegion;
+  RateSharing heardSharing;
+  RateSharing sharing;
+  // The shortest time until one of the servers left out for its rate limit admits a request.
+  std::optional<std::chrono::milliseconds> limitRetryAfter;
   // A member to reuse its memory between calls.
   std::vector<Ranked> ranked;
 };
@@ -188,7 +233,6 @@
 Placement::Impl::BuildIndex()
 {
   this->byHash.clear();
-  this->warmupSenders.clear();
   for (auto& [name, service] : this->services) {
     service.byRegion.clear();
   }
@@ -203,78 +247,98 @@
   }
 }
 
-bool
-Placement::Impl::HasLocalSender(const std::string& aRegion) const
+std::optional<RateShare>
+Placement::Impl::WarmupShare(const ServerRecord& aRecord)
 {
-  const auto found = this->sendersByRegion.find(aRegion);
-  return found != this->sendersByRegion.end() && found->second > 0;
+  const auto service = this->services.find(aRecord.Entry().service);
+  const double rate = service == this->services.end() ? 0 : service->second.warmupRate;
+  if (rate <= 0) {
+    return std::nullopt;
+  }
+  const double fraction =
+    this->heardSharing.FractionOf(aRecord.Hash(), aRecord.Entry().region, kMaxWarmupSenders);
+  return RateShare{ .rate = rate * kWarmupRateFraction * fraction };
 }
 
-std::size_t
-Placement::Impl::WarmupSenderCount(const ServerRecord& aRecord) const
+RateShare
+Placement::Impl::LimitShare(const ServerRecord& aRecord)
 {
-  const auto local = this->sendersByRegion.find(aRecord.Entry().region);
-  const std::size_t count =
-    local == this->sendersByRegion.end() ? this->senders.size() : local->second;
-  return std::min(kMaxWarmupSenders, count);
+  const double rate = std::max(kMinLimit, aRecord.Limit().Rate().value_or(0));
+  const double fraction =
+    this->sharing.FractionOf(aRecord.Hash(), aRecord.Entry().region, LimitSenders(rate));
+  const double part = rate * fraction;
+  return { .rate = part, .burst = std::max(1.0, part * kLimitBurstTime.count()) };
 }
 
 bool
-Placement::Impl::IsWarmupSender(const ServerRecord& aRecord)
+Placement::Impl::IsLimitProbeDue(const ServerRecord& aRecord, BootTime aNow)
 {
-  const auto [known, isNew] = this->warmupSenders.try_emplace(aRecord.Hash(), false);
-  if (isNew) {
-    known->second = this->ComputeIsWarmupSender(aRecord);
+  const BootTime silentAt = aRecord.Limit().StatedAt() + kLimitSilence;
+  if (aNow < silentAt) {
+    return false;
   }
-  return known->second;
+  const std::size_t position = this->sharing.PositionOf(aRecord.Hash(), aRecord.Entry().region);
+  return aNow >= silentAt + position * kLimitProbeInterval &&
+         aNow >= aRecord.SentAt() + this->sharing.VmCount() * kLimitProbeInterval;
 }
 
 bool
-Placement::Impl::ComputeIsWarmupSender(const ServerRecord& aRecord) const
+Placement::Impl::IsWithinLimit(const ServerRecord& aRecord, BootTime aNow)
 {
-  const std::string& home = aRecord.Entry().region;
-  const bool hasLocal = this->HasLocalSender(home);
-  if (hasLocal && this->region != home) {
-    return false;
+  if (!aRecord.Limit().Rate()) {
+    return true;
   }
-  const std::uint64_t own = RendezvousRank(aRecord.Hash(), this->selfHash);
-  std::size_t ahead = 0;
-  for (const Sender& sender : this->senders) {
-    const bool counts = sender.hash != this->selfHash && (!hasLocal || sender.peer.region == home);
-    if (counts && RendezvousRank(aRecord.Hash(), sender.hash) > own) {
-      ++ahead;
-    }
+  const RateShare share = this->LimitShare(aRecord);
+  const bool hasToken = share.rate > 0 && aRecord.LimitTokens().HasToken(share, aNow);
+  return hasToken || this->IsLimitProbeDue(aRecord, aNow);
+}
+
+std::chrono::milliseconds
+Placement::Impl::TimeToLimitToken(const ServerRecord& aRecord, BootTime aNow)
+{
+  const RateShare share = this->LimitShare(aRecord);
+  if (share.rate > 0) {
+    return std::chrono::ceil<std::chrono::milliseconds>(
+      aRecord.LimitTokens().TimeToToken(share, aNow));
   }
-  return ahead < kMaxWarmupSenders;
+  // Another VM, to which the caller may come, has a token in about the time between two of its own.
+  const double rate = std::max(kMinLimit, aRecord.Limit().Rate().value_or(0));
+  const auto senders = this->sharing.SenderCount(aRecord.Entry().region, LimitSenders(rate));
+  return std::chrono::ceil<std::chrono::milliseconds>(Seconds(static_cast<double>(senders) / rate));
 }
 
-std::chrono::nanoseconds
-Placement::Impl::WarmupInterval(const ServerRecord& aRecord) const
+void
+Placement::Impl::TakeTokens(ServerRecord& aRecord, BootTime aNow)
 {
-  const auto service = this->services.find(aRecord.Entry().service);
-  const double rate = service == this->services.end() ? 0 : service->second.warmupRate;
-  if (rate <= 0) {
-    return std::chrono::nanoseconds(0);
+  if (aRecord.IsCold(aNow)) {
+    if (const auto share = this->WarmupShare(aRecord)) {
+      aRecord.WarmupTokens().Take(*share, aNow);
+    }
+  }
+  if (aRecord.Limit().Rate()) {
+    aRecord.LimitTokens().Take(this->LimitShare(aRecord), aNow);
   }
-  const double senderCount =
-    static_cast<double>(std::max<std::size_t>(1, this->WarmupSenderCount(aRecord)));
-  return std::chrono::duration_cast<std::chrono::nanoseconds>(
-    Seconds(senderCount / (rate * kWarmupRateFraction)));
 }
 
 bool
 Placement::Impl::IsUsableNow(const ServerRecord& aRecord, BootTime aNow)
 {
-  return !aRecord.IsEjected(aNow) && (!aRecord.IsCold(aNow) || this->IsWarmupSender(aRecord));
+  if (aRecord.IsEjected(aNow)) {
+    return false;
+  }
+  const std::string& home = aRecord.Entry().region;
+  return !aRecord.IsCold(aNow) ||
+         this->heardSharing.FractionOf(aRecord.Hash(), home, kMaxWarmupSenders) > 0;
 }
 
 bool
-Placement::Impl::HasCapacity(const ServerRecord& aRecord,
-                             double aMeanResponseTime,
-                             BootTime aNow) const
+Placement::Impl::HasCapacity(const ServerRecord& aRecord, double aMeanResponseTime, BootTime aNow)
 {
-  if (aRecord.IsCold(aNow) && !aRecord.MaySendWhileCold(this->WarmupInterval(aRecord), aNow)) {
-    return false;
+  if (aRecord.IsCold(aNow)) {
+    const auto share = this->WarmupShare(aRecord);
+    if (share && !aRecord.WarmupTokens().HasToken(*share, aNow)) {
+      return false;
+    }
   }
   return aRecord.LoadAt(aMeanResponseTime, aNow) < aRecord.UsableSlots(aMeanResponseTime);
 }
@@ -296,8 +360,14 @@
       aRequest.excluded != nullptr &&
       std::find(aRequest.excluded->begin(), aRequest.excluded->end(), record->Entry().id) !=
         aRequest.excluded->end();
-    if (!wasTried && this->IsUsableNow(*record, aNow)) {
+    if (wasTried || !this->IsUsableNow(*record, aNow)) {
+      continue;
+    }
+    if (this->IsWithinLimit(*record, aNow)) {
       this->ranked.push_back({ RendezvousRank(aRequest.object, record->Hash()), record });
+    } else {
+      const std::chrono::milliseconds wait = this->TimeToLimitToken(*record, aNow);
+      this->limitRetryAfter = std::min(wait, this->limitRetryAfter.value_or(wait));
     }
   }
 }
@@ -330,9 +400,9 @@
                             BootTime aNow) const
 {
   // Callers choose among the region's VMs at random, so each VM sees an equal share.
-  const auto local = this->sendersByRegion.find(this->region);
+  const auto local = this->peersByRegion.find(this->region);
   const std::size_t vms =
-    local == this->sendersByRegion.end() ? 1 : std::max<std::size_t>(1, local->second);
+    local == this->peersByRegion.end() ? 1 : std::max<std::size_t>(1, local->second);
   const double rate = this->objectLoad.RateOf(aRequest.object, aNow) * static_cast<double>(vms);
   const std::chrono::duration<double, std::milli> mean(this->MeanResponseTime(aRequest.service));
   return OwnersFor(rate, mean, aFirst.Entry().slots);
@@ -438,12 +508,8 @@
 }
 
 Placement::Placement(std::string aSelf, std::string aRegion, std::string aFailureDomain)
-  : impl(std::make_unique<Impl>())
+  : impl(std::make_unique<Impl>(std::move(aSelf), std::move(aRegion), std::move(aFailureDomain)))
 {
-  this->impl->selfHash = StableHash(aSelf);
-  this->impl->self = std::move(aSelf);
-  this->impl->region = std::move(aRegion);
-  this->impl->failureDomain = std::move(aFailureDomain);
 }
 
 Placement::~Placement() = default;
@@ -461,7 +527,11 @@
       old->second.Update(server, aReadAt);
       kept.emplace(server.id, std::move(old->second));
     } else {
-      kept.emplace(server.id, ServerRecord(server, aReadAt));
+      ServerRecord& record = kept.emplace(server.id, ServerRecord(server, aReadAt)).first->second;
+      if (old != this->impl->servers.end()) {
+        // What was stated before the restart doesn't apply to the new process.
+        record.OnLimit(std::nullopt, aReadAt);
+      }
     }
     this->impl->services.try_emplace(server.service);
   }
@@ -492,33 +562,21 @@
 }
 
 void
-Placement::SetPeers(std::vector<PlacingPeer> aPeers)
-{
-  std::vector<Sender> senders;
-  senders.reserve(aPeers.size());
-  for (PlacingPeer& peer : aPeers) {
-    const std::uint64_t hash = StableHash(peer.name);
-    senders.push_back({ std::move(peer), hash });
-  }
-  const bool isSame =
-    std::equal(senders.begin(),
-               senders.end(),
-               this->impl->senders.begin(),
-               this->impl->senders.end(),
-               [](const Sender& aLeft, const Sender& aRight) {
-                 return aLeft.hash == aRight.hash && aLeft.peer.region == aRight.peer.region;
-               });
-  if (isSame) {
-    return;
-  }
-  this->impl->senders = std::move(senders);
-  this->impl->warmupSenders.clear();
-  this->impl->sendersByRegion.clear();
-  for (const Sender& sender : this->impl->senders) {
-    ++this->impl->sendersByRegion[sender.peer.region];
+Placement::SetPeers(const std::vector<PlacingPeer>& aPeers)
+{
+  this->impl->heardSharing.SetVms(aPeers);
+  this->impl->peersByRegion.clear();
+  for (const PlacingPeer& peer : aPeers) {
+    ++this->impl->peersByRegion[peer.region];
   }
 }
 
+void
+Placement::SetFleet(const std::vector<PlacingPeer>& aVms)
+{
+  this->impl->sharing.SetVms(aVms);
+}
+
 void
 Placement::SetPlan(const std::string& aService, std::vector<RegionShare> aPlan)
 {
@@ -534,6 +592,7 @@
 Placing
 Placement::Choose(const PlacingRequest& aRequest, BootTime aNow)
 {
+  this->impl->limitRetryAfter.reset();
   for (const std::string& name : this->impl->RegionOrder(aRequest)) {
     this->impl->Rank(aRequest, name, aNow);
     if (this->impl->ranked.empty()) {
@@ -551,6 +610,9 @@
     }
     return fallback;
   }
+  if (this->impl->limitRetryAfter) {
+    return { PlacingState::kLimited, nullptr, *this->impl->limitRetryAfter };
+  }
   return {};
 }
 
@@ -564,6 +626,7 @@
 Placement::OnSent(const std::string& aServer, BootTime aNow)
 {
   if (ServerRecord* const record = this->impl->Find(aServer)) {
+    this->impl->TakeTokens(*record, aNow);
     record->OnSent(aNow);
     ServiceRecord& service = this->impl->services[record->Entry().service];
     DecaySends(service, aNow);
@@ -614,6 +677,29 @@
   return record != nullptr && record->OnLimit(aRate, aNow);
 }
 
+bool
+Placement::OnPeerLimit(const KnownLimit& aLimit, BootTime aNow)
+{
+  const auto found = this->impl->byHash.find(aLimit.server);
+  return found != this->impl->byHash.end() && aLimit.statedAt <= aNow &&
+         found->second->OnLimit(aLimit.rate, aLimit.statedAt);
+}
+
+std::vector<KnownLimit>
+Placement::KnownLimits(BootTime aNow) const
+{
+  std::vector<KnownLimit> limits;
+  for (const auto& [id, record] : this->impl->servers) {
+    const NamedLimit& limit = record.Limit();
+    const bool wasWithdrawn =
+      limit.ChangedAt() != BootTime{} && aNow - limit.ChangedAt() < kWithdrawalReportTime;
+    if (limit.Rate() || wasWithdrawn) {
+      limits.push_back({ record.Hash(), limit.Rate(), limit.StatedAt() });
+    }
+  }
+  return limits;
+}
+
 std::optional<double>
 Placement::LimitOf(const std::string& aServer) const
 {
@@ -628,11 +714,12 @@
   for (const std::string& name : this->impl->regions) {
     slots[name] = 0;
   }
+  const double mean = this->impl->MeanResponseTime(aService);
   for (const auto& [id, record] : this->impl->servers) {
     const BackendServer& entry = record.Entry();
     const bool counts =
       entry.service == aService && !entry.isDraining && !record.IsAvoided() && !record.IsCold(aNow);
-    slots[entry.region] += counts ? entry.slots : 0;
+    slots[entry.region] += counts ? SlotsWithinLimit(record, mean) : 0;
   }
   std::vector<RegionState> states;
   states.reserve(slots.size());
--- a/src/policy/placing/server_record.cc
+++ b/src/policy/placing/server_record.cc
@@ -76,9 +76,7 @@
 ServerRecord::OnSent(BootTime aNow)
 {
   ++this->inFlight;
-  if (this->IsCold(aNow)) {
-    this->coldSentAt = aNow;
-  }
+  this->sentAt = aNow;
 }
 
 void
@@ -153,7 +151,12 @@
 bool
 ServerRecord::OnLimit(std::optional<double> aRate, BootTime aStatedAt)
 {
-  return this->limit.OnStatement(aRate, aStatedAt);
+  const bool isNewLimit = aRate && !this->limit.Rate();
+  const bool hasChanged = this->limit.OnStatement(aRate, aStatedAt);
+  if (hasChanged && isNewLimit) {
+    this->limitTokens.Drain(aStatedAt);
+  }
+  return hasChanged;
 }
 
 double
--- a/src/policy/placing/server_record.h
+++ b/src/policy/placing/server_record.h
@@ -4,6 +4,7 @@
 #include "plantainhaven/policy/placing/named_limit.h"
 #include "plantainhaven/policy/placing/placement.h"
 #include "plantainhaven/policy/placing/routing.h"
+#include "plantainhaven/policy/placing/send_bucket.h"
 
 #include <chrono>
 #include <cstdint>
@@ -23,6 +24,7 @@
   void SuspectRestart(BootTime aNow);
 
   void OnSent(BootTime aNow);
+  BootTime SentAt() const { return this->sentAt; }
   void OnEnded(SendOutcome aOutcome, std::chrono::milliseconds aDuration, BootTime aNow);
   void OnLoad(const ServerLoad& aLoad, BootTime aNow);
   // Records the number of requests on the server that another VM reported.
@@ -36,13 +38,15 @@
   double UsableSlots(double aMeanResponseTime) const;
   bool IsEjected(BootTime aNow) const { return aNow < this->ejectedUntil; }
   bool IsCold(BootTime aNow) const { return aNow < this->coldUntil; }
-  bool MaySendWhileCold(std::chrono::nanoseconds aInterval, BootTime aNow) const
-  {
-    return aNow >= this->coldSentAt + aInterval;
-  }
 
   const NamedLimit& Limit() const { return this->limit; }
-  // Applies a response that names a rate limit, or none. Returns whether the limit has changed.
+  // Tokens of this VM's part of the warm-up rate, and of the rate limit.
+  SendBucket& WarmupTokens() { return this->warmupTokens; }
+  const SendBucket& WarmupTokens() const { return this->warmupTokens; }
+  SendBucket& LimitTokens() { return this->limitTokens; }
+  const SendBucket& LimitTokens() const { return this->limitTokens; }
+  // Applies a statement of the server that names a rate limit, or none. Returns whether the limit
+  // has changed.
   bool OnLimit(std::optional<double> aRate, BootTime aStatedAt);
 
   const BackendServer& Entry() const { return this->entry; }
@@ -68,9 +72,11 @@
   std::chrono::milliseconds ejection{ 0 };
   BootTime shedUntil{};
   BootTime coldUntil{};
-  BootTime coldSentAt{};
+  BootTime sentAt{};
   BootTime brokenAt{};
   NamedLimit limit;
+  SendBucket warmupTokens;
+  SendBucket limitTokens;
 };
 
 } // namespace plantainhaven::placing
--- a/test/edge/rewind_test.cc
+++ b/test/edge/rewind_test.cc
@@ -74,7 +74,7 @@
             this->metrics,
             { .onView = [](FleetView) {},
               .onQuotaRange = [this](QuotaRange aRange) { this->range = aRange; },
-              .onRegionalReport = [](VmReport) {},
+              .onServerNews = [](VmReport) {},
               .onTableUpdate = [](const std::string&, const TableNews&) {},
               .onTokenMessage = [](Envelope) {} })
   {
--- a/test/edge/server_limit_test.cc
+++ b/test/edge/server_limit_test.cc
@@ -109,6 +109,7 @@
     for (int i = 0; i < aCount; ++i) {
       fleet.senders.push_back({ NameOf(i), "north" });
     }
+    fleet.members = fleet.senders;
     for (int i = 0; i < aCount; ++i) {
       auto vm = std::make_unique<Vm>();
       vm->callersPort = SetUpVm(vm->settings, NameOf(i));
