Bound the memory that a response without end takes

What callers saw, or would have: a backend server whose response doesn't end in a chunk header or trailer fills the VM's memory as fast as the link allows; the process dies with std::bad_alloc and with it all its callers' requests.

Cause: Beast's parser limits the head, not the lines of chunk headers and trailers, and the connection's buffer had no limit. Besides, a response to another request was skipped without a limit, so that an endless one used up the request's time and nothing was retried.

Fix: the connection's buffer holds 128 KB, after which the attempt is broken and the connection closes; a skipped response may have 1 MB.

--- a/src/edge/exchange.cc
+++ b/src/edge/exchange.cc
@@ -22,6 +22,8 @@
 constexpr std::uint64_t kMaxBodyBytes = 1ULL << 40;
 // Late responses to earlier requests that are skipped before the attempt fails.
 constexpr int kMaxStaleResponses = 3;
+// Bytes of such a response's body that are skipped before the attempt fails.
+constexpr std::size_t kMaxStaleBytes = 1 << 20;
 // Idle timeout assumed for servers that state none, within the range of common defaults.
 constexpr std::chrono::milliseconds kDefaultIdleLimit{ 4000 };
 // Fraction of a stated idle timeout for which a connection is kept, because the server starts its
@@ -226,11 +228,7 @@
       co_return beast::error_code();
     }
     this->isOutOfSync = this->isOutOfSync || !isInterim;
-    while (!fault && !this->parser->is_done()) {
-      this->body.clear();
-      fault = co_await this->ReadPart(kPartBytes);
-    }
-    this->body.clear();
+    fault = co_await this->SkipBody();
     if (fault) {
       co_return fault;
     }
@@ -238,6 +236,23 @@
   co_return http::error::bad_status;
 }
 
+Task<beast::error_code>
+Exchange::SkipBody()
+{
+  beast::error_code fault;
+  std::size_t skipped = 0;
+  while (!fault && !this->parser->is_done()) {
+    this->body.clear();
+    fault = co_await this->ReadPart(kPartBytes);
+    skipped += this->body.size();
+    if (!fault && skipped > kMaxStaleBytes) {
+      fault = http::error::body_limit;
+    }
+  }
+  this->body.clear();
+  co_return fault;
+}
+
 Task<beast::error_code>
 Exchange::ReadBody()
 {
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -77,6 +77,8 @@
                         std::shared_ptr<Writer> aWriter);
   Task<beast::error_code> ReadResponse();
   Task<beast::error_code> ReadHead();
+  // Skips the body of a response to another request.
+  Task<beast::error_code> SkipBody();
   Task<beast::error_code> ReadBody();
   Task<beast::error_code> ReadPart(std::size_t aMaxBytes);
   void ClassifyResponse();
--- a/src/edge/upstream_pool.h
+++ b/src/edge/upstream_pool.h
@@ -6,6 +6,7 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <set>
@@ -17,13 +18,17 @@
 // A connection to a backend server.
 struct Upstream
 {
+  // Most bytes that are buffered before they are parsed. The parser doesn't bound the lines of
+  // chunk headers and trailers.
+  static constexpr std::size_t kMaxBufferBytes = 128 << 10;
+
   explicit Upstream(asio::io_context& aContext)
     : stream(aContext)
   {
   }
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{ kMaxBufferBytes };
   // The connection has served an earlier request.
   bool isReused = false;
   BootTime idleSince{};
--- a/test/edge/fake_server.h
+++ b/test/edge/fake_server.h
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <chrono>
 #include <functional>
 #include <list>
 #include <memory>
@@ -21,8 +22,12 @@
 // Bytes that the fake server responds with, and whether it closes the connection after them.
 struct FakeAnswer
 {
-  std::string bytes;
+  std::string bytes{};
   bool closes = false;
+  // Sent again and again after `bytes` until the peer closes the connection.
+  std::string endless{};
+  // Pause after each repetition of `endless`.
+  std::chrono::milliseconds pause{ 0 };
 };
 
 using FakeHandler = std::function<FakeAnswer(const FakeRequest&)>;
@@ -106,6 +111,10 @@
       }
       const FakeAnswer answer = current(request);
       boost::asio::write(aSocket, boost::asio::buffer(answer.bytes), fault);
+      while (!answer.endless.empty() && !fault && !this->isStopping) {
+        boost::asio::write(aSocket, boost::asio::buffer(answer.endless), fault);
+        std::this_thread::sleep_for(answer.pause);
+      }
       if (answer.closes) {
         break;
       }
--- a/test/edge/one_vm.h
+++ b/test/edge/one_vm.h
@@ -45,7 +45,7 @@
 inline FakeAnswer
 Served(const FakeRequest& aRequest)
 {
-  return { Response(aRequest, "200 OK", kSignatureLine, "whole") };
+  return { .bytes = Response(aRequest, "200 OK", kSignatureLine, "whole") };
 }
 
 inline FakeAnswer
