--- a/src/edge/caller_session.cc
+++ b/src/edge/caller_session.cc
@@ -78,6 +78,7 @@
 ServeRequest(TrafficState& aState, beast::tcp_stream& aStream, beast::flat_buffer& aBuffer)
 {
   const CallerLimits limits = LimitsOf(aState);
+  aBuffer.max_size(limits.maxHeaderBytes + kMaxBufferBytes);
   CallerParser parser;
   parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
   parser.body_limit(limits.maxBodyBytes);
--- a/src/edge/net.h
+++ b/src/edge/net.h
@@ -15,6 +15,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/error.hpp>
 #include <chrono>
+#include <cstddef>
 #include <string>
 
 namespace plantainhaven::edge {
@@ -73,4 +74,8 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(aTime);
 }
 
+// Most bytes of a connection that are buffered before they are parsed, beyond the head. The parser
+// doesn't bound the lines of chunk headers and trailers.
+inline constexpr std::size_t kMaxBufferBytes = 128 << 10;
+
 } // namespace plantainhaven::edge
--- a/src/edge/simple_server.cc
+++ b/src/edge/simple_server.cc
@@ -19,7 +19,7 @@
 ServeConnection(Tcp::socket aSocket, std::shared_ptr<SimpleHandler> aHandler)
 {
   beast::tcp_stream stream(std::move(aSocket));
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{ kMaxBufferBytes };
   bool isOpen = true;
   while (isOpen) {
     http::request_parser<http::string_body> parser;
--- a/src/edge/upstream_pool.h
+++ b/src/edge/upstream_pool.h
@@ -18,10 +18,6 @@
 // A connection to a backend server.
 struct Upstream
 {
-  // Most bytes that are buffered before they are parsed. The parser doesn't bound the lines of
-  // chunk headers and trailers.
-  static constexpr std::size_t kMaxBufferBytes = 128 << 10;
-
   explicit Upstream(asio::io_context& aContext)
     : stream(aContext)
   {
--- a/test/edge/endless_response_test.cc
+++ b/test/edge/endless_response_test.cc
@@ -160,5 +160,30 @@
   }
 }
 
+// The same chunk header from a caller.
+TEST_CASE("A request without end is cut off in bounded memory")
+{
+  OneVm vm;
+  const long bytesBefore = ResidentBytes();
+  asio::io_context context;
+  Tcp::socket socket(context);
+  socket.connect({ asio::ip::make_address("127.0.0.1"), vm.CallersPort() });
+  beast::error_code fault;
+  asio::write(socket,
+              asio::buffer(std::string("POST /book/x HTTP/1.1\r\nHost: shop.example\r\n"
+                                       "X-Plantainhaven-Request-Id: endless\r\n"
+                                       "Authorization: Token key-1\r\n"
+                                       "Transfer-Encoding: chunked\r\n\r\n5;a=")),
+              fault);
+  const std::string filler = Repeat("a");
+  std::size_t sent = 0;
+  while (!fault && sent < std::size_t{ 2 } * kMaxGrowthBytes) {
+    sent += asio::write(socket, asio::buffer(filler), fault);
+  }
+  CHECK(fault);
+  CHECK(ResidentBytes() - bytesBefore < kMaxGrowthBytes);
+  CHECK(vm.SendRequest(http::verb::get, "/read/x").body() == "whole");
+}
+
 } // namespace
 } // namespace plantainhaven::edge
