--- a/include/plantainhaven/standin/server_standin.h
+++ b/include/plantainhaven/standin/server_standin.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -21,6 +22,8 @@
   std::string account;
   // The request carried the caller's Authorization header.
   bool hasClientKey = false;
+  // The server names a rate limit in its response.
+  bool isToldLimit = false;
 };
 
 // Injected faults. A fault with the interval N affects every Nth request; 0 disables it.
@@ -61,6 +64,9 @@
   std::uint16_t Port() const;
   const std::string& Id() const;
   void SetFaults(const ServerFaults& aFaults);
+  // Sets the rate limit, in requests per second of all VMs together, that the responses name;
+  // std::nullopt for none.
+  void SetLimit(std::optional<double> aRate);
   // Returns the report that the server writes to the store. `aPort` is the port where it can
   // be reached.
   std::string Report(std::uint16_t aPort, bool aIsDraining);
--- a/src/programs/plantain-soak/ledger.cc
+++ b/src/programs/plantain-soak/ledger.cc
@@ -13,6 +13,15 @@
 constexpr std::chrono::seconds kDisturbedFor{ 4 };
 // Maximum number of violations that are recorded during the run.
 constexpr std::size_t kMostLines = 20;
+// A server's rate limit binds this long after the server first named it, and a VM this long after a
+// request whose response named it has begun to run: the slowest response and the agreed half
+// second.
+constexpr std::chrono::milliseconds kLimitNoticeTime{ 4000 };
+constexpr std::chrono::milliseconds kLimitReactionTime{ 2500 };
+// The agreed window of a rate limit, and the factor and number by which it may be exceeded.
+constexpr std::chrono::seconds kLimitWindow{ 4 };
+constexpr double kLimitFactor = 1.5;
+constexpr double kLimitSlack = 5;
 
 bool
 StatesNotExecuted(unsigned aStatus)
@@ -20,6 +29,21 @@
   return aStatus == 429 || aStatus == 503 || aStatus == 408 || aStatus == 421;
 }
 
+// The most times in any window of this length. The times must be sorted.
+std::size_t
+MostInWindow(const std::vector<BootTime>& aTimes, std::chrono::seconds aWindow)
+{
+  std::size_t most = 0;
+  std::size_t first = 0;
+  for (std::size_t last = 0; last < aTimes.size(); ++last) {
+    while (aTimes[last] - aTimes[first] > aWindow) {
+      ++first;
+    }
+    most = std::max(most, last - first + 1);
+  }
+  return most;
+}
+
 } // namespace
 
 void
@@ -60,6 +84,60 @@
   if (aRun.account == kLimitedAccount) {
     this->limitedRuns.push_back(aNow);
   }
+  this->CountLimitedRun(entry.sent.vm, aRun, aNow);
+}
+
+void
+Ledger::CountLimitedRun(const std::string& aVm, const standin::ServerRun& aRun, BootTime aNow)
+{
+  const auto found = this->limitEpochs.find(aRun.server);
+  if (found == this->limitEpochs.end() || !aRun.isToldLimit) {
+    return;
+  }
+  LimitEpoch& epoch = found->second;
+  const BootTime toldAt = epoch.toldAt.try_emplace(aVm, aNow).first->second;
+  const bool isBound =
+    aNow >= epoch.namedAt + kLimitNoticeTime && aNow >= toldAt + kLimitReactionTime;
+  if (isBound && !this->WasDisturbedBefore(aVm, aNow)) {
+    epoch.runs.push_back(aNow);
+  }
+}
+
+void
+Ledger::OnLimit(const std::string& aServer, std::optional<double> aRate, BootTime aNow)
+{
+  const auto found = this->limitEpochs.find(aServer);
+  if (found != this->limitEpochs.end()) {
+    this->CheckLimit(aServer, found->second, this->broken);
+    this->limitEpochs.erase(found);
+  }
+  if (aRate) {
+    this->limitEpochs[aServer] = { *aRate, aNow, {}, {} };
+  }
+}
+
+void
+Ledger::CheckLimit(const std::string& aServer,
+                   const LimitEpoch& aEpoch,
+                   std::vector<std::string>& aInto) const
+{
+  const double allowed =
+    kLimitFactor * aEpoch.rate * static_cast<double>(kLimitWindow.count()) + kLimitSlack;
+  const std::size_t most = MostInWindow(aEpoch.runs, kLimitWindow);
+  if (static_cast<double>(most) > allowed) {
+    aInto.push_back("LIMIT: " + aServer + " named " + std::to_string(aEpoch.rate) +
+                    " a second and ran " + std::to_string(most) +
+                    " requests in a window, allowed " + std::to_string(allowed));
+  }
+}
+
+bool
+Ledger::WasDisturbedBefore(const std::string& aVm, BootTime aTime) const
+{
+  const auto [first, last] = this->disturbed.equal_range(aVm);
+  return std::any_of(first, last, [aTime](const auto& aItem) {
+    return aItem.second <= aTime && aTime < aItem.second + kDisturbedFor;
+  });
 }
 
 void
@@ -110,20 +188,6 @@
   }
 }
 
-std::size_t
-Ledger::MostRunsInWindow() const
-{
-  std::size_t most = 0;
-  std::size_t first = 0;
-  for (std::size_t last = 0; last < this->limitedRuns.size(); ++last) {
-    while (this->limitedRuns[last] - this->limitedRuns[first] > this->limits.window) {
-      ++first;
-    }
-    most = std::max(most, last - first + 1);
-  }
-  return most;
-}
-
 std::vector<std::string>
 Ledger::Broken() const
 {
@@ -137,6 +201,9 @@
                      " ended without an answer");
     }
   }
+  for (const auto& [server, epoch] : this->limitEpochs) {
+    this->CheckLimit(server, epoch, all);
+  }
   if (lost.size() > kMostLost) {
     all.insert(all.end(), lost.begin(), lost.end());
   }
@@ -144,7 +211,7 @@
     (this->limits.rate * static_cast<double>(this->limits.window.count()) + this->limits.burst) *
       (1 + this->limits.overage) +
     this->limits.slack;
-  const auto most = static_cast<double>(this->MostRunsInWindow());
+  const auto most = static_cast<double>(MostInWindow(this->limitedRuns, this->limits.window));
   if (most > allowed) {
     all.push_back("QUOTA: expected at most " + std::to_string(allowed) +
                   " runs in a window, found " + std::to_string(most));
@@ -177,7 +244,8 @@
   for (const auto& [status, count] : byStatus) {
     text += " status_" + std::to_string(status) + "=" + std::to_string(count);
   }
-  return text + " limited_most=" + std::to_string(this->MostRunsInWindow());
+  return text +
+         " limited_most=" + std::to_string(MostInWindow(this->limitedRuns, this->limits.window));
 }
 
 } // namespace plantainhaven::soak
--- a/src/programs/plantain-soak/ledger.h
+++ b/src/programs/plantain-soak/ledger.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -55,6 +56,8 @@
 
   void OnSent(const std::string& aId, SentRequest aRequest);
   void OnRun(const standin::ServerRun& aRun, const std::string& aService, BootTime aNow);
+  // Records that a server names a rate limit from now on, or none.
+  void OnLimit(const std::string& aServer, std::optional<double> aRate, BootTime aNow);
   void OnResponse(const std::string& aId, ReceivedResponse aAnswer);
   // Records that a VM was killed or paused: its open requests may end in any way.
   void OnVmDisturbed(const std::string& aVm, BootTime aNow);
@@ -76,16 +79,34 @@
     bool ranAfterAnswer = false;
   };
 
+  // Requests at a server while it names one rate limit.
+  struct LimitEpoch
+  {
+    double rate = 0;
+    BootTime namedAt{};
+    // When the server first told a VM of its limit.
+    std::map<std::string, BootTime> toldAt;
+    // Runs that the limit binds.
+    std::vector<BootTime> runs;
+  };
+
+  // Records a run at a server that names a limit, unless its VM is excused.
+  void CountLimitedRun(const std::string& aVm, const standin::ServerRun& aRun, BootTime aNow);
+  void CheckLimit(const std::string& aServer,
+                  const LimitEpoch& aEpoch,
+                  std::vector<std::string>& aInto) const;
+  bool WasDisturbedBefore(const std::string& aVm, BootTime aTime) const;
   void Break(const std::string& aRule, const std::string& aText);
   void CheckEntry(const std::string& aId,
                   const Entry& aEntry,
                   std::vector<std::string>& aInto) const;
-  std::size_t MostRunsInWindow() const;
   bool WasDisturbed(const Entry& aEntry) const;
 
   Limits limits;
   std::map<std::string, Entry> entries;
   std::vector<BootTime> limitedRuns;
+  // By server.
+  std::map<std::string, LimitEpoch> limitEpochs;
   std::multimap<std::string, BootTime> disturbed;
   std::vector<std::string> broken;
 };
--- a/src/programs/plantain-soak/soak.cc
+++ b/src/programs/plantain-soak/soak.cc
@@ -2,6 +2,7 @@
 
 #include "platform/names.h"
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <functional>
@@ -31,6 +32,8 @@
 // Fault-free time at the end of the run. Requests sent in its last kRecovered must be served.
 constexpr std::chrono::seconds kCalm{ 12 };
 constexpr std::chrono::seconds kRecovered{ 4 };
+// No server names a rate limit in this time at the end.
+constexpr std::chrono::seconds kLimitFreeTime{ 7 };
 // Minimum fraction of requests served after the recovery. The guaranteed bound is a quarter;
 // without faults nearly all requests are served.
 constexpr double kLeastServed = 0.9;
@@ -263,6 +266,8 @@
     { "store_history", &Soak::ForgetHistory },
     { "store_link", &Soak::InjectStoreLinkFault },
     { "server", &Soak::InjectServerFault },
+    { "server_limit", &Soak::LimitServer },
+    { "server_limit", &Soak::LimitServer },
     { "server_link", &Soak::InjectServerLinkFault },
     { "server_crash", &Soak::CrashServer },
     { "server_drain", &Soak::DrainServer },
@@ -447,6 +452,33 @@
   });
 }
 
+// A server names a rate limit for some time. Half of the servers of "shop" have none.
+void
+Soak::LimitServer()
+{
+  constexpr int kMostLimited = 2;
+  Server& server = this->AnyServer();
+  if (server.service != "shop" || this->limitedServers == kMostLimited) {
+    return;
+  }
+  const std::string id = server.standin->Id();
+  const double rate = 0.1 * static_cast<double>(this->Between(10, 120).count());
+  const milliseconds calmEnd = edge::ToMilliseconds(this->startedAt + this->options.length -
+                                                    kLimitFreeTime - BootClock::Now());
+  ++this->limitedServers;
+  server.standin->SetLimit(rate);
+  this->ledger.OnLimit(id, rate, BootClock::Now());
+  this->After(std::min(this->Between(7000, 15000), calmEnd), [this, id] {
+    --this->limitedServers;
+    this->ledger.OnLimit(id, std::nullopt, BootClock::Now());
+    for (Server& other : this->servers) {
+      if (other.standin->Id() == id) {
+        other.standin->SetLimit(std::nullopt);
+      }
+    }
+  });
+}
+
 void
 Soak::InjectServerLinkFault()
 {
--- a/src/programs/plantain-soak/soak.h
+++ b/src/programs/plantain-soak/soak.h
@@ -95,6 +95,7 @@
   void ForgetHistory();
   void InjectStoreLinkFault();
   void InjectServerFault();
+  void LimitServer();
   void InjectServerLinkFault();
   void CrashServer();
   void DrainServer();
@@ -113,6 +114,7 @@
   std::unique_ptr<Callers> callers;
   std::vector<std::string> broken;
   int nextServer = 1;
+  int limitedServers = 0;
   int configuration = 0;
   bool hasEnded = false;
 };
--- a/src/standin/server_standin.cc
+++ b/src/standin/server_standin.cc
@@ -69,6 +69,7 @@
   std::int64_t sequence = 0;
   std::set<std::shared_ptr<beast::tcp_stream>> open;
   ServerFaults faults;
+  std::optional<double> limit;
   int running = 0;
   int count = 0;
   bool isEnded = false;
@@ -83,6 +84,9 @@
   response.set(platform::kRequestIdHeader, Field(aRequest, platform::kRequestIdHeader));
   response.set(platform::kLoadHeader,
                std::to_string(this->running) + ",0," + std::to_string(this->options.slots));
+  if (this->limit) {
+    response.set(platform::kRateLimitHeader, std::to_string(*this->limit));
+  }
   response.set(http::field::keep_alive, "timeout=" + std::to_string(kKeepAlive.count()));
   response.keep_alive(aRequest.keep_alive());
   return response;
@@ -113,7 +117,8 @@
                 std::string(aRequest.method_string()),
                 std::string(aRequest.target()),
                 Field(aRequest, platform::kAccountHeader),
-                aRequest.find(http::field::authorization) != aRequest.end() });
+                aRequest.find(http::field::authorization) != aRequest.end(),
+                this->limit.has_value() });
   ++this->running;
   asio::steady_timer timer(this->context);
   co_await Sleep(timer, this->options.work + this->faults.extraLatency);
@@ -208,6 +213,12 @@
   this->impl->faults = aFaults;
 }
 
+void
+ServerStandin::SetLimit(std::optional<double> aRate)
+{
+  this->impl->limit = aRate;
+}
+
 std::string
 ServerStandin::Report(std::uint16_t aPort, bool aIsDraining)
 {
