Bound the cached positions and the shortest Retry-After of a rate limit

Read the change again: the cache of positions grew with each server that ever was, and a refusal could ask a caller back within a millisecond, when others that were refused with it compete for the same token. The cache is cleared at 4,096 servers, and the time is at least 200 ms.

--- a/src/edge/dispatcher.cc
+++ b/src/edge/dispatcher.cc
@@ -19,6 +19,8 @@
 // A request is rejected unless this fraction of the mean response time remains when it starts.
 constexpr double kMinTimeFraction = 0.3;
 constexpr std::chrono::milliseconds kNoServerRetryAfter{ 500 };
+// Callers that were refused because of a rate limit compete for the next token.
+constexpr std::chrono::milliseconds kMinLimitRetryAfter{ 200 };
 // Above this mean response size, the traffic between failure domains costs more than loading an
 // object into the cache of a second server.
 constexpr double kLargeResponseBytes = 16 << 10;
@@ -191,7 +193,8 @@
     co_return DispatchFailure{ DispatchFailureReason::kNoServer, kNoServerRetryAfter };
   }
   if (placing.state == PlacingState::kLimited) {
-    co_return DispatchFailure{ DispatchFailureReason::kServerLimit, placing.retryAfter };
+    co_return DispatchFailure{ DispatchFailureReason::kServerLimit,
+                               std::max(placing.retryAfter, kMinLimitRetryAfter) };
   }
   if (placing.state == PlacingState::kSend) {
     this->ReserveSlot(*placing.server, aRequest, false, now);
@@ -324,7 +327,8 @@
   }
   if (placing.state == PlacingState::kLimited) {
     this->CompleteWait(aId,
-                       DispatchFailure{ DispatchFailureReason::kServerLimit, placing.retryAfter });
+                       DispatchFailure{ DispatchFailureReason::kServerLimit,
+                                        std::max(placing.retryAfter, kMinLimitRetryAfter) });
     return true;
   }
   const BackendServer server = *placing.server;
--- a/src/policy/placing/rate_sharing.cc
+++ b/src/policy/placing/rate_sharing.cc
@@ -5,6 +5,12 @@
 #include <algorithm>
 
 namespace plantainhaven::placing {
+namespace {
+
+// Servers come and go while the VMs stay the same.
+constexpr std::size_t kMaxCachedPositions = 4096;
+
+} // namespace
 
 RateSharing::RateSharing(std::string_view aSelf, std::string_view aRegion)
   : self{ StableHash(aSelf), std::string(aRegion) }
@@ -53,6 +59,9 @@
 std::size_t
 RateSharing::PositionOf(std::uint64_t aServer, const std::string& aRegion)
 {
+  if (this->positions.size() >= kMaxCachedPositions) {
+    this->positions.clear();
+  }
   const auto [known, isNew] = this->positions.try_emplace(aServer, 0);
   if (isNew) {
     const bool isLocal = this->self.region == aRegion;
