Send no report of its own for each small change of a server's rate limit

Only a new or withdrawn limit and a change by over a quarter are sent at once; smaller ones go with the regular reports.

--- a/src/edge/dispatcher.cc
+++ b/src/edge/dispatcher.cc
@@ -19,6 +19,8 @@
 // A request is rejected unless this fraction of the mean response time remains when it starts.
 constexpr double kMinTimeFraction = 0.3;
 constexpr std::chrono::milliseconds kNoServerRetryAfter{ 500 };
+// Fraction by which a rate limit must change for a report of its own.
+constexpr double kLargeLimitChange = 0.25;
 // Callers that were refused because of a rate limit compete for the next token.
 constexpr std::chrono::milliseconds kMinLimitRetryAfter{ 200 };
 // Above this mean response size, the traffic between failure domains costs more than loading an
@@ -54,6 +56,14 @@
         { "per_s", aRate.value_or(0) } });
 }
 
+// Whether other VMs must learn of a changed limit before their next regular report: a server may
+// name a slightly different rate in each response.
+bool
+IsLargeChange(std::optional<double> aPrevious, std::optional<double> aRate)
+{
+  return !aPrevious || !aRate || std::abs(*aRate - *aPrevious) > kLargeLimitChange * *aPrevious;
+}
+
 } // namespace
 
 const char*
@@ -269,9 +279,10 @@
 void
 Dispatcher::OnLimit(const std::string& aServer, std::optional<double> aRate)
 {
+  const std::optional<double> previous = this->LimitOf(aServer);
   if (this->placement.OnLimit(aServer, aRate, BootClock::Now())) {
     LogLimit(aServer, aRate);
-    this->hasLimitNews = true;
+    this->hasLimitNews = this->hasLimitNews || IsLargeChange(previous, aRate);
   }
 }
 
--- a/src/edge/dispatcher.h
+++ b/src/edge/dispatcher.h
@@ -108,7 +108,7 @@
   void OnLimit(const std::string& aServer, std::optional<double> aRate);
   // Applies the server loads and rate limits in the report of another VM.
   void OnPeerReport(const VmReport& aReport);
-  // Whether a response to this VM has changed a server's rate limit since the last report: the
+  // Whether a response to this VM has changed a server's rate limit much since the last report: the
   // other VMs should learn of it at once.
   bool HasLimitNews() const { return this->hasLimitNews; }
 
