--- a/include/plantainhaven/policy/placing/placement.h
+++ b/include/plantainhaven/policy/placing/placement.h
@@ -94,7 +94,7 @@
 {
 public:
   // Takes the name, region and failure domain of this VM.
-  Placement(std::string aSelf, std::string aRegion, std::string aFailureDomain = {});
+  Placement(std::string_view aSelf, std::string aRegion, std::string aFailureDomain = {});
   ~Placement();
   Placement(const Placement&) = delete;
   Placement& operator=(const Placement&) = delete;
--- a/src/policy/placing/placement.cc
+++ b/src/policy/placing/placement.cc
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 
@@ -143,7 +144,7 @@
 
 struct Placement::Impl
 {
-  Impl(std::string aSelf, std::string aRegion, std::string aFailureDomain)
+  Impl(std::string_view aSelf, std::string aRegion, std::string aFailureDomain)
     : region(std::move(aRegion))
     , failureDomain(std::move(aFailureDomain))
     , sharing(aSelf, this->region)
@@ -505,8 +506,8 @@
   return { PlacingState::kBusy, nullptr };
 }
 
-Placement::Placement(std::string aSelf, std::string aRegion, std::string aFailureDomain)
-  : impl(std::make_unique<Impl>(std::move(aSelf), std::move(aRegion), std::move(aFailureDomain)))
+Placement::Placement(std::string_view aSelf, std::string aRegion, std::string aFailureDomain)
+  : impl(std::make_unique<Impl>(aSelf, std::move(aRegion), std::move(aFailureDomain)))
 {
 }
 
