--- a/src/edge/exchange.cc
+++ b/src/edge/exchange.cc
@@ -88,8 +88,10 @@
   if (fault) {
     this->outcome = SendOutcome::kNoConnection;
     this->errorText = fault.message();
+    this->connectResult = IsTimeout(fault) ? "timeout" : "refused";
     co_return false;
   }
+  this->connectResult = "connected";
   Tcp::socket& socket = this->upstream->stream.socket();
   socket.set_option(Tcp::no_delay(true), fault);
   const unsigned timeout = kUserTimeoutMs;
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -66,6 +66,10 @@
   std::optional<LimitStatement> Limit() const { return this->limit; }
   // Error text for the log; empty when there was no error.
   const std::string& Fault() const { return this->errorText; }
+  // The connection has served an earlier request.
+  bool IsReused() const { return this->upstream != nullptr && this->upstream->isReused; }
+  // How opening a new connection ended, for metrics.
+  const char* ConnectResult() const { return this->connectResult; }
 
 private:
   // State of a request body that is sent while the response is read.
@@ -104,6 +108,7 @@
   std::optional<ServerLoad> load;
   std::optional<LimitStatement> limit;
   std::string errorText;
+  const char* connectResult = "reused";
 };
 
 } // namespace plantainhaven::edge
--- a/src/edge/request_run.cc
+++ b/src/edge/request_run.cc
@@ -246,6 +246,8 @@
   const auto maxIdle = this->route->isIdempotent ? kMaxIdle : kMaxIdleNonIdempotent;
   const SteadyTime until = steadyNow + std::min(left, kConnectTimeout);
   const bool isConnected = co_await exchange.Connect(maxIdle, until);
+  this->state.metrics.Count(
+    "plantainhaven_server_connects_total", "result", exchange.ConnectResult());
   this->watch.CheckNow();
   if (this->watch.HasDisconnected()) {
     end(SendOutcome::kAbandoned);
@@ -442,6 +444,8 @@
       { { "request", this->requestId },
         { "server", aServer.id },
         { "service", aServer.service },
+        { "region", aServer.region },
+        { "reused", aExchange.IsReused() },
         { "outcome", OutcomeName(aExchange.Outcome()) },
         { "fault", aExchange.Fault() },
         { "not_run", aExchange.IsNotExecuted() },
