--- a/include/plantainhaven/policy/placing/placement.h
+++ b/include/plantainhaven/policy/placing/placement.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,6 +28,7 @@
   kBroken,       // The connection closed before the response was complete.
   kTimeout,      // No response arrived before the timeout.
   kAbandoned,    // The caller disconnected or another attempt finished first.
+  kNotRelayed,   // The VM that should have relayed the request rejected it; nothing was sent.
 };
 
 // Load that a backend server reports in a response, in requests.
@@ -105,6 +107,8 @@
   void SetServices(const std::unordered_map<std::string, Service>& aServices);
   // Sets the failure domains that are being drained.
   void SetAvoidedDomains(const std::vector<std::string>& aDomains, BootTime aNow);
+  // Sets the failure domains to whose servers no request can be sent.
+  void SetUnreachableDomains(const std::set<std::string>& aDomains);
   // Sets the VMs that are heard, including this one; callers choose among them.
   void SetPeers(const std::vector<PlacingPeer>& aPeers);
   // Sets all VMs of the fleet, whether or not they are heard: they share the rates of cold and of
@@ -123,6 +127,9 @@
   Placing Choose(const PlacingRequest& aRequest, BootTime aNow);
   // Records that a request is sent to a server returned by Choose().
   void OnSent(const std::string& aServer, BootTime aNow);
+  // Records that a request of another VM is sent to the server through this one. That VM has
+  // counted it against the limits and the region plan.
+  void OnRelayed(const std::string& aServer, BootTime aNow);
   void OnEnded(const std::string& aServer,
                SendOutcome aOutcome,
                std::chrono::milliseconds aDuration,
@@ -148,8 +155,10 @@
   std::chrono::milliseconds MeanResponseTime(std::string_view aService) const;
   std::size_t ServerCount() const;
   std::vector<ServerStatus> ServerStatuses(BootTime aNow) const;
-  // Returns whether a server is known and may get requests.
-  bool MayUse(const std::string& aServer, BootTime aNow) const;
+  // Null when the server isn't known. Valid until the next change of the placement.
+  const BackendServer* Find(const std::string& aServer) const;
+  // Returns whether a server is known and neither draining nor in an avoided failure domain.
+  bool AcceptsRequests(const std::string& aServer) const;
 
 private:
   struct Impl;
--- a/src/edge/caller_response.cc
+++ b/src/edge/caller_response.cc
@@ -24,6 +24,14 @@
 
 } // namespace
 
+void
+CallerResponse::SetOutcome(http::fields& aFields) const
+{
+  if (this->form.relayOutcome != nullptr) {
+    aFields.set(kRelayOutcomeField, this->form.relayOutcome);
+  }
+}
+
 Task<bool>
 CallerResponse::Forward(Exchange& aExchange)
 {
@@ -40,6 +48,7 @@
   response.result(aExchange.Status());
   response.version(this->form.version);
   CopyFields(aExchange.Head(), response);
+  this->SetOutcome(response);
   response.keep_alive(this->form.keepsAlive);
   if (!this->form.isHead) {
     response.body() = std::move(aExchange.Body());
@@ -64,6 +73,7 @@
   response.result(aExchange.Status());
   response.version(this->form.version);
   CopyFields(aExchange.Head(), response);
+  this->SetOutcome(response);
   response.keep_alive(this->form.keepsAlive);
   const auto length = aExchange.ContentLength();
   if (length) {
@@ -111,6 +121,7 @@
   if (aRefusal.retryAfter.count() > 0) {
     response.set(http::field::retry_after, FormatSeconds(aRefusal.retryAfter));
   }
+  this->SetOutcome(response);
   response.keep_alive(this->form.keepsAlive);
   response.body() = aRefusal.reason + "\n";
   response.prepare_payload();
--- a/src/edge/caller_response.h
+++ b/src/edge/caller_response.h
@@ -30,6 +30,8 @@
     // The response to a HEAD request has no body.
     bool isHead = false;
     bool keepsAlive = true;
+    // In a response to another VM: how the attempt at the backend server ended.
+    const char* relayOutcome = nullptr;
   };
 
   CallerResponse(beast::tcp_stream& aCaller, Form aForm)
@@ -46,6 +48,7 @@
 private:
   Task<bool> ForwardBuffered(Exchange& aExchange);
   Task<bool> ForwardStream(Exchange& aExchange);
+  void SetOutcome(http::fields& aFields) const;
 
   beast::tcp_stream& caller;
   Form form;
--- a/src/edge/caller_session.cc
+++ b/src/edge/caller_session.cc
@@ -1,5 +1,8 @@
 #include "edge/caller_session.h"
 
+#include "edge/relay_run.h"
+#include "edge/request_run.h"
+
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <utility>
@@ -10,6 +13,8 @@
 // TCP keep-alive probes detect callers that disappeared without closing their connection.
 constexpr std::chrono::seconds kProbeInterval{ 5 };
 constexpr int kProbes = 2;
+// The account, the deadline and the server, which the relaying VM's peer adds to a request.
+constexpr std::size_t kMaxRelayFieldBytes = 4096;
 
 void
 PrepareSocket(Tcp::socket& aSocket)
@@ -73,14 +78,40 @@
   co_await http::async_write(aStream, interim, Into(ignored));
 }
 
+Task<bool>
+RunForCaller(TrafficState& aState,
+             beast::tcp_stream& aStream,
+             CallerWatch& aWatch,
+             CallerRequest& aRequest,
+             CallerBody& aBody)
+{
+  RequestRun run(aState, aStream, aWatch, aRequest, aBody);
+  co_return co_await run.Run();
+}
+
+Task<bool>
+RunForVm(TrafficState& aState,
+         beast::tcp_stream& aStream,
+         CallerWatch& aWatch,
+         CallerRequest& aRequest,
+         CallerBody& aBody)
+{
+  RelayRun run(aState, aStream, aWatch, aRequest, aBody);
+  co_return co_await run.Run();
+}
+
 // Serves one request. Returns false when the connection must be closed.
 Task<bool>
-ServeRequest(TrafficState& aState, beast::tcp_stream& aStream, beast::flat_buffer& aBuffer)
+ServeRequest(TrafficState& aState,
+             beast::tcp_stream& aStream,
+             beast::flat_buffer& aBuffer,
+             const SessionHandler& aHandler)
 {
   const CallerLimits limits = LimitsOf(aState);
-  aBuffer.max_size(limits.maxHeaderBytes + kMaxBufferBytes);
+  const std::size_t maxHeaderBytes = limits.maxHeaderBytes + aHandler.extraHeaderBytes;
+  aBuffer.max_size(maxHeaderBytes + kMaxBufferBytes);
   CallerParser parser;
-  parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
+  parser.header_limit(static_cast<std::uint32_t>(maxHeaderBytes));
   parser.body_limit(limits.maxBodyBytes);
   beast::error_code fault;
   aStream.expires_after(limits.idleTimeout + limits.headerTimeout);
@@ -95,8 +126,7 @@
   aStream.expires_never();
   if (!fault) {
     CallerWatch watch(aStream.socket());
-    RequestRun run(aState, aStream, watch, parser.get(), body);
-    isOpen = co_await run.Run();
+    isOpen = co_await aHandler.run(aState, aStream, watch, parser.get(), body);
   } else if (const unsigned status = StatusOf(fault); status != 0) {
     co_await Reject(aState, aStream, parser.get(), body, status);
   }
@@ -112,15 +142,22 @@
 
 } // namespace
 
+const SessionHandler kCallerSession{ .connectionsMetric = "plantainhaven_caller_connections_total",
+                                     .extraHeaderBytes = 0,
+                                     .run = RunForCaller };
+const SessionHandler kRelaySession{ .connectionsMetric = "plantainhaven_relay_connections_total",
+                                    .extraHeaderBytes = kMaxRelayFieldBytes,
+                                    .run = RunForVm };
+
 Task<void>
-ServeCaller(TrafficState& aState, Tcp::socket aSocket)
+ServeSession(TrafficState& aState, Tcp::socket aSocket, const SessionHandler& aHandler)
 {
   PrepareSocket(aSocket);
   beast::tcp_stream stream(std::move(aSocket));
   beast::flat_buffer buffer;
   bool isOpen = true;
   while (isOpen) {
-    isOpen = co_await ServeRequest(aState, stream, buffer);
+    isOpen = co_await ServeRequest(aState, stream, buffer, aHandler);
   }
 }
 
--- a/src/edge/dispatcher.cc
+++ b/src/edge/dispatcher.cc
@@ -269,6 +269,21 @@
   this->DispatchWaiters(state, StableHash(aServer.id));
 }
 
+void
+Dispatcher::BeginRelayed(const BackendServer& aServer)
+{
+  this->placement.OnRelayed(aServer.id, BootClock::Now());
+}
+
+void
+Dispatcher::EndRelayed(const BackendServer& aServer,
+                       SendOutcome aOutcome,
+                       std::chrono::milliseconds aTook)
+{
+  this->placement.OnEnded(aServer.id, aOutcome, aTook, BootClock::Now());
+  this->DispatchWaiters(this->StateOf(aServer.service), StableHash(aServer.id));
+}
+
 void
 Dispatcher::OnLoad(const std::string& aServer, const ServerLoad& aLoad)
 {
@@ -514,10 +529,4 @@
   return this->placement.LimitOf(aServer);
 }
 
-bool
-Dispatcher::MayUse(const std::string& aServer) const
-{
-  return this->placement.MayUse(aServer, BootClock::Now());
-}
-
 } // namespace plantainhaven::edge
--- a/src/edge/dispatcher.h
+++ b/src/edge/dispatcher.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <ostream>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -103,6 +104,26 @@
   // Removes a request from the queue after its caller has disconnected.
   void CancelWait(std::uint64_t aWaiter);
   void End(const BackendServer& aServer, SendOutcome aOutcome, std::chrono::milliseconds aTook);
+  // Whether the server is known and neither draining nor in an avoided failure domain.
+  bool AcceptsRequests(const std::string& aServer) const
+  {
+    return this->placement.AcceptsRequests(aServer);
+  }
+  // Records the start and the end of a request that another VM relays through this one.
+  void BeginRelayed(const BackendServer& aServer);
+  void EndRelayed(const BackendServer& aServer,
+                  SendOutcome aOutcome,
+                  std::chrono::milliseconds aTook);
+  // Null when the server isn't known. Valid until the servers change.
+  const BackendServer* FindServer(const std::string& aServer) const
+  {
+    return this->placement.Find(aServer);
+  }
+  // Sets the failure domains to whose servers no request can be sent.
+  void SetUnreachableDomains(const std::set<std::string>& aDomains)
+  {
+    this->placement.SetUnreachableDomains(aDomains);
+  }
   void OnLoad(const std::string& aServer, const ServerLoad& aLoad);
   // Applies a response of the server that names a rate limit, or none.
   void OnLimit(const std::string& aServer, std::optional<double> aRate);
@@ -126,7 +147,6 @@
   void FillReport(VmReport& aReport);
   // Mean response time of the service.
   std::chrono::milliseconds MeanResponseTime(const std::string& aService) const;
-  bool MayUse(const std::string& aServer) const;
   // The rate limit that the server names; std::nullopt while it names none.
   std::optional<double> LimitOf(const std::string& aServer) const;
   // Writes one line of key=value pairs for each service and each server.
--- a/src/edge/exchange.cc
+++ b/src/edge/exchange.cc
@@ -1,12 +1,13 @@
 #include "edge/exchange.h"
 
+#include "edge/forwarding.h"
 #include "plantainhaven/common/log.h"
 #include "platform/decode.h"
 #include "platform/names.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
-#include <netinet/tcp.h>
 #include <string_view>
 #include <utility>
 
@@ -29,13 +30,24 @@
 // Fraction of a stated idle timeout for which a connection is kept, because the server starts its
 // timer earlier.
 constexpr double kIdleFraction = 0.8;
-// A connection is closed when sent bytes stay unacknowledged for this long, as in a network
-// partition or after a host failure.
-constexpr unsigned kUserTimeoutMs = 3000;
-
 // Longest part of a malformed field that is logged.
 constexpr std::size_t kMaxLoggedText = 40;
 
+constexpr std::array<const char*, 9> kOutcomeNames{ "served",      "failed",        "shed",
+                                                    "misdirected", "no_connection", "broken",
+                                                    "timeout",     "abandoned",     "not_relayed" };
+
+// The outcome that a relaying VM states; kBroken when it states none.
+SendOutcome
+OutcomeOf(beast::string_view aName)
+{
+  const auto found = std::find_if(kOutcomeNames.begin(),
+                                  kOutcomeNames.end(),
+                                  [&](const char* aKnown) { return aName == aKnown; });
+  return found == kOutcomeNames.end() ? SendOutcome::kBroken
+                                      : static_cast<SendOutcome>(found - kOutcomeNames.begin());
+}
+
 bool
 IsTimeout(const beast::error_code& aFault)
 {
@@ -62,10 +74,32 @@
 
 } // namespace
 
-Exchange::Exchange(asio::io_context& aContext, UpstreamPool& aPool, const BackendServer& aServer)
+ExchangeTarget
+DirectTarget(const BackendServer& aServer)
+{
+  return { .key = aServer.id, .address = aServer.address, .port = aServer.port };
+}
+
+ExchangeTarget
+RelayedTarget(const std::string& aEndpoint)
+{
+  const Tcp::endpoint endpoint = ToEndpoint(aEndpoint);
+  return { .key = aEndpoint,
+           .address = endpoint.address().to_string(),
+           .port = endpoint.port(),
+           .isRelay = true };
+}
+
+const char*
+ToString(SendOutcome aOutcome) noexcept
+{
+  return kOutcomeNames[static_cast<std::size_t>(aOutcome)];
+}
+
+Exchange::Exchange(asio::io_context& aContext, UpstreamPool& aPool, ExchangeTarget aTarget)
   : context(aContext)
   , pool(aPool)
-  , server(aServer)
+  , target(std::move(aTarget))
 {
 }
 
@@ -73,29 +107,27 @@
 Exchange::Connect(std::chrono::milliseconds aMaxIdle,
                   std::chrono::steady_clock::time_point aDeadline)
 {
-  this->upstream = this->pool.Acquire(this->server.id, aMaxIdle);
+  this->upstream = this->pool.Acquire(this->target.key, aMaxIdle);
   if (this->upstream != nullptr) {
     co_return true;
   }
   this->upstream = std::make_shared<Upstream>(this->context);
   this->upstream->stream.expires_at(aDeadline);
   beast::error_code fault;
-  const auto ip = asio::ip::make_address(this->server.address, fault);
+  const auto ip = asio::ip::make_address(this->target.address, fault);
   if (!fault) {
-    const Tcp::endpoint endpoint(ip, this->server.port);
+    const Tcp::endpoint endpoint(ip, this->target.port);
     co_await this->upstream->stream.async_connect(endpoint, Into(fault));
   }
   if (fault) {
     this->outcome = SendOutcome::kNoConnection;
     this->errorText = fault.message();
-    this->connectResult = IsTimeout(fault) ? "timeout" : "refused";
+    this->isConnectTimeout = IsTimeout(fault);
+    this->connectResult = this->isConnectTimeout ? "timeout" : "refused";
     co_return false;
   }
   this->connectResult = "connected";
-  Tcp::socket& socket = this->upstream->stream.socket();
-  socket.set_option(Tcp::no_delay(true), fault);
-  const unsigned timeout = kUserTimeoutMs;
-  ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+  PrepareUpstream(*this->upstream);
   co_return true;
 }
 
@@ -273,16 +305,16 @@
 {
   const std::size_t before = this->body.size();
   this->body.resize(before + aMaxBytes);
-  auto& target = this->parser->get().body();
-  target.data = this->body.data() + before;
-  target.size = aMaxBytes;
+  auto& part = this->parser->get().body();
+  part.data = this->body.data() + before;
+  part.size = aMaxBytes;
   beast::error_code fault;
   co_await http::async_read_some(
     this->upstream->stream, this->upstream->buffer, *this->parser, Into(fault));
   if (fault == http::error::need_buffer) {
     fault = {};
   }
-  this->body.resize(before + aMaxBytes - target.size);
+  this->body.resize(before + aMaxBytes - part.size);
   co_return fault;
 }
 
@@ -312,19 +344,23 @@
     this->load = ServerLoad{ reported->running, reported->waiting, reported->slots };
   }
   const bool isEchoed = head[platform::kRequestIdHeader] == this->requestId;
+  const bool isSigned = head.find(platform::kSignatureHeader) != head.end();
+  if (this->target.isRelay) {
+    this->ClassifyRelayed(isSigned, isEchoed);
+    return;
+  }
   const bool statesNotExecuted = head.find(platform::kNotExecutedHeader) != head.end();
   const bool isMisdirected = this->Status() == 421;
   // On a reused connection, a statement without the request's id may belong to an earlier request.
   const bool isForThisRequest = isEchoed || !this->upstream->isReused;
   if (isForThisRequest && !isMisdirected && !this->isOutOfSync) {
-    this->ReadLimit(isEchoed && head.find(platform::kSignatureHeader) != head.end());
+    this->ReadLimit(isEchoed && isSigned);
   }
   if ((statesNotExecuted || isMisdirected) && isForThisRequest && !this->isOutOfSync) {
     this->isNotExecuted = true;
     this->outcome = isMisdirected ? SendOutcome::kMisdirected : SendOutcome::kShed;
     return;
   }
-  const bool isSigned = head.find(platform::kSignatureHeader) != head.end();
   const bool isEncoded = head.find(http::field::content_encoding) != head.end();
   if (!isSigned || isEncoded || !isEchoed) {
     this->outcome = SendOutcome::kFailed;
@@ -335,6 +371,40 @@
   this->outcome = this->Status() >= 500 ? SendOutcome::kFailed : SendOutcome::kServed;
 }
 
+void
+Exchange::ClassifyRelayed(bool aIsSigned, bool aIsEchoed)
+{
+  this->outcome = OutcomeOf(this->Head()[kRelayOutcomeField]);
+  this->parser->get().erase(kRelayOutcomeField);
+  this->errorText = "stated by the relaying VM";
+  switch (this->outcome) {
+    case SendOutcome::kNoConnection:
+    case SendOutcome::kNotRelayed:
+      this->isNotExecuted = true;
+      break;
+    case SendOutcome::kShed:
+    case SendOutcome::kMisdirected:
+      this->isNotExecuted = true;
+      this->ReadLimit(false);
+      break;
+    case SendOutcome::kServed:
+      if (!aIsSigned || !aIsEchoed) {
+        this->outcome = SendOutcome::kFailed;
+        this->isOutOfSync = true;
+        break;
+      }
+      this->ReadLimit(true);
+      break;
+    case SendOutcome::kFailed:
+      this->ReadLimit(aIsSigned && aIsEchoed);
+      break;
+    case SendOutcome::kBroken:
+    case SendOutcome::kTimeout:
+    case SendOutcome::kAbandoned:
+      break;
+  }
+}
+
 // Only a response that the server has signed withdraws a limit by naming none: one that was
 // created in the server's place may lack the field.
 void
@@ -355,7 +425,7 @@
   }
   Log(LogLevel::kWarning,
       "server_limit_unreadable",
-      { { "server", this->server.id }, { "text", text.substr(0, kMaxLoggedText) } });
+      { { "server", this->target.key }, { "text", text.substr(0, kMaxLoggedText) } });
 }
 
 std::optional<std::uint64_t>
@@ -383,7 +453,7 @@
   if (isUsable) {
     this->upstream->idleLimit = IdleLimitOf(this->Head());
     this->upstream->stream.expires_never();
-    this->pool.Release(this->server.id, std::move(this->upstream));
+    this->pool.Release(this->target.key, std::move(this->upstream));
   }
   this->upstream.reset();
 }
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -22,13 +22,35 @@
   std::optional<double> rate;
 };
 
+// The other end of an exchange's connection.
+struct ExchangeTarget
+{
+  // The backend server's id, or the relaying VM's endpoint; the key of its idle connections.
+  std::string key;
+  std::string address;
+  std::uint16_t port = 0;
+  // A VM that sends the request on to the backend server and states in its response how that
+  // ended.
+  bool isRelay = false;
+};
+
+ExchangeTarget
+DirectTarget(const BackendServer& aServer);
+// `aEndpoint` is the "ADDRESS:PORT" of the relaying VM.
+ExchangeTarget
+RelayedTarget(const std::string& aEndpoint);
+
+// The outcome's name in logs, metrics and responses of relaying VMs.
+const char*
+ToString(SendOutcome aOutcome) noexcept;
+
 // One attempt of a request at one backend server, up to the point where its response is known to
 // be usable. Short response bodies are buffered whole, so that the request can be retried when
 // the response is truncated. The rest of a longer body is read with ReadMore().
 class Exchange
 {
 public:
-  Exchange(asio::io_context& aContext, UpstreamPool& aPool, const BackendServer& aServer);
+  Exchange(asio::io_context& aContext, UpstreamPool& aPool, ExchangeTarget aTarget);
 
   // Reuses an idle connection or opens a new one. Returns false when no connection was
   // established by `aDeadline`; nothing has been sent in that case.
@@ -70,6 +92,8 @@
   bool IsReused() const { return this->upstream != nullptr && this->upstream->isReused; }
   // How opening a new connection ended, for metrics.
   const char* ConnectResult() const { return this->connectResult; }
+  // No connection was established because nothing answered.
+  bool IsConnectTimeout() const { return this->isConnectTimeout; }
 
 private:
   // State of a request body that is sent while the response is read.
@@ -86,11 +110,13 @@
   Task<beast::error_code> ReadBody();
   Task<beast::error_code> ReadPart(std::size_t aMaxBytes);
   void ClassifyResponse();
+  // Adopts the outcome that a relaying VM states.
+  void ClassifyRelayed(bool aIsSigned, bool aIsEchoed);
   void ReadLimit(bool aIsSigned);
 
   asio::io_context& context;
   UpstreamPool& pool;
-  BackendServer server;
+  ExchangeTarget target;
   UpstreamPtr upstream;
   std::optional<ServerParser> parser;
   std::string requestId;
@@ -109,6 +135,7 @@
   std::optional<LimitStatement> limit;
   std::string errorText;
   const char* connectResult = "reused";
+  bool isConnectTimeout = false;
 };
 
 } // namespace plantainhaven::edge
--- a/src/edge/fleet.cc
+++ b/src/edge/fleet.cc
@@ -58,6 +58,15 @@
   aRecord.set_quota_end(aRange.end);
 }
 
+bool
+HasSamePaths(const VmReport& aOne, const VmReport& aOther)
+{
+  return std::equal(aOne.lost_domains().begin(),
+                    aOne.lost_domains().end(),
+                    aOther.lost_domains().begin(),
+                    aOther.lost_domains().end());
+}
+
 std::uint64_t
 NewIncarnation()
 {
@@ -67,6 +76,20 @@
 
 } // namespace
 
+std::optional<placing::RelayVm>
+RelayOf(const std::string& aName, const VmReport& aReport)
+{
+  if (aReport.relay().empty() || !aReport.ready() || aReport.leaving()) {
+    return std::nullopt;
+  }
+  return placing::RelayVm{ .name = aName,
+                           .endpoint = aReport.relay(),
+                           .region = aReport.region(),
+                           .lostDomains = { aReport.lost_domains().begin(),
+                                            aReport.lost_domains().end() },
+                           .requests = aReport.relayed_requests() };
+}
+
 Fleet::Fleet(asio::io_context& aContext,
              const EdgedSettings& aSettings,
              platform::StoreClient& aClient,
@@ -115,8 +138,9 @@
 void
 Fleet::Report(VmReport aReport)
 {
-  const bool isStateChange =
-    aReport.ready() != this->ownReport.ready() || aReport.leaving() != this->ownReport.leaving();
+  const bool isStateChange = aReport.ready() != this->ownReport.ready() ||
+                             aReport.leaving() != this->ownReport.leaving() ||
+                             !HasSamePaths(aReport, this->ownReport);
   aReport.set_callers(this->settings.listen().callers());
   aReport.set_region(this->settings.vm().region());
   aReport.set_failure_domain(this->settings.vm().failure_domain());
@@ -253,15 +277,16 @@
   const BootTime now = BootClock::Now();
   Member& member = this->members[aMessage.from()];
   const VmReport& report = aMessage.vm_report();
-  const bool isStateChange = !this->IsAlive(member, now) ||
-                             member.report.ready() != report.ready() ||
-                             member.report.leaving() != report.leaving();
+  const bool isStateChange =
+    !this->IsAlive(member, now) || member.report.ready() != report.ready() ||
+    member.report.leaving() != report.leaving() || !HasSamePaths(member.report, report);
   if (isStateChange) {
     Log(LogLevel::kInfo,
         "peer",
         { { "vm", aMessage.from() },
           { "ready", report.ready() },
           { "leaving", report.leaving() },
+          { "lost_paths", report.lost_domains_size() },
           { "configuration", report.configuration_version() } });
   }
   member.record.set_endpoint(aMessage.reply_to());
@@ -328,6 +353,9 @@
     if (report.ready() && !report.leaving()) {
       view.entries.push_back({ name, report.callers(), report.region(), report.failure_domain() });
     }
+    if (auto relay = RelayOf(name, report)) {
+      view.relays.push_back(std::move(*relay));
+    }
     for (const ServiceDemand& demand : report.demands()) {
       view.demand[demand.service()][report.region()] += demand.concurrency();
       std::vector<RegionShare>& plan = view.plans[demand.service()];
--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,10 @@
 
 namespace plantainhaven::edge {
 
+// The VM as one that relays requests; std::nullopt if it doesn't accept any.
+std::optional<placing::RelayVm>
+RelayOf(const std::string& aName, const VmReport& aReport);
+
 // Callbacks for changes of the fleet's state; all run on the control thread.
 struct FleetListener
 {
--- a/src/edge/forwarding.cc
+++ b/src/edge/forwarding.cc
@@ -33,17 +33,26 @@
   });
 }
 
-// True for fields that this module sets itself, and for the caller's key, which must not reach a
-// backend server.
-bool
-IsReservedField(beast::string_view aName)
+// Fields that this module sets itself, and the caller's key, which must not reach a backend server.
+constexpr std::array<const char*, 4> kReservedFields{ platform::kAccountHeader,
+                                                      platform::kTargetHeader,
+                                                      platform::kDeadlineHeader,
+                                                      "Authorization" };
+
+// The request line and the end-to-end fields of a request.
+ServerRequestHead
+EndToEndHead(const CallerRequest& aRequest)
 {
-  constexpr std::array<const char*, 4> kReserved{
-    platform::kAccountHeader, platform::kTargetHeader, platform::kDeadlineHeader, "Authorization"
-  };
-  return std::any_of(kReserved.begin(), kReserved.end(), [aName](const char* aField) {
-    return beast::iequals(aName, aField);
-  });
+  ServerRequestHead head;
+  head.version(11);
+  head.method_string(aRequest.method_string());
+  head.target(aRequest.target());
+  for (const auto& field : aRequest) {
+    if (!IsHopByHop(aRequest, field.name_string())) {
+      head.insert(field.name_string(), field.value());
+    }
+  }
+  return head;
 }
 
 } // namespace
@@ -88,15 +97,9 @@
               const Account* aAccount,
               std::chrono::milliseconds aLeft)
 {
-  ServerRequestHead head;
-  head.version(11);
-  head.method_string(aRequest.method_string());
-  head.target(aRequest.target());
-  for (const auto& field : aRequest) {
-    const auto name = field.name_string();
-    if (!IsHopByHop(aRequest, name) && !IsReservedField(name)) {
-      head.insert(name, field.value());
-    }
+  ServerRequestHead head = EndToEndHead(aRequest);
+  for (const char* const field : kReservedFields) {
+    head.erase(field);
   }
   head.set(platform::kDeadlineHeader, std::to_string(aLeft.count()));
   head.set(platform::kTargetHeader, aServer.id);
@@ -106,4 +109,12 @@
   return head;
 }
 
+ServerRequestHead
+RelayedHead(const CallerRequest& aRequest, std::chrono::milliseconds aLeft)
+{
+  ServerRequestHead head = EndToEndHead(aRequest);
+  head.set(platform::kDeadlineHeader, std::to_string(aLeft.count()));
+  return head;
+}
+
 } // namespace plantainhaven::edge
--- a/src/edge/forwarding.h
+++ b/src/edge/forwarding.h
@@ -37,6 +37,9 @@
 bool
 IsHopByHop(const http::fields& aFields, beast::string_view aName);
 
+// Field of a relaying VM's response that states how the attempt at the backend server ended.
+inline constexpr const char* kRelayOutcomeField = "Plantainhaven-Relay-Outcome";
+
 // Builds the request head for a backend server: the caller's fields without hop-by-hop fields and
 // without its key, plus the deadline, the target server and the account. `aLeft` is the time until
 // the deadline. `aAccount` may be null.
@@ -46,4 +49,9 @@
               const Account* aAccount,
               std::chrono::milliseconds aLeft);
 
+// Builds the request head for a backend server from a request that another VM relays through this
+// one, which is such a head already.
+ServerRequestHead
+RelayedHead(const CallerRequest& aRequest, std::chrono::milliseconds aLeft);
+
 } // namespace plantainhaven::edge
--- a/src/edge/net.h
+++ b/src/edge/net.h
@@ -16,7 +16,11 @@
 #include <boost/beast/core/error.hpp>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace plantainhaven::edge {
 
@@ -68,6 +72,33 @@
   return acceptor;
 }
 
+// Listens at the first free port from `aPorts.front()` to `aPorts.back()` that isn't in
+// `aReserved`, or at one that the operating system chooses if `aPorts` is empty. Returns nothing
+// when the address is invalid or no port is free.
+inline std::optional<Tcp::acceptor>
+ListenInRange(asio::io_context& aContext,
+              const std::string& aAddress,
+              const std::vector<std::uint32_t>& aPorts,
+              const std::set<std::uint32_t>& aReserved)
+{
+  const std::uint32_t first = aPorts.empty() ? 0 : aPorts.front();
+  const std::uint32_t last = aPorts.empty() ? 0 : aPorts.back();
+  beast::error_code fault;
+  const auto address = asio::ip::make_address(aAddress, fault);
+  for (std::uint32_t port = first; !fault && port <= last; ++port) {
+    if (port != 0 && aReserved.contains(port)) {
+      continue;
+    }
+    try {
+      return Listen(aContext, { address, static_cast<unsigned short>(port) });
+    } catch (const boost::system::system_error&) {
+      // The port is taken; the next one may be free.
+      continue;
+    }
+  }
+  return std::nullopt;
+}
+
 inline std::chrono::milliseconds
 ToMilliseconds(BootClock::duration aTime)
 {
--- /dev/null
+++ b/src/edge/relay_run.cc
@@ -0,0 +1,171 @@
+#include "edge/relay_run.h"
+
+#include "edge/forwarding.h"
+#include "plantainhaven/common/log.h"
+#include "platform/names.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace plantainhaven::edge {
+namespace {
+
+// Requests of other VMs that this one handles at a time. Each may buffer a response of 256 KiB.
+constexpr int kMaxRelayedRequests = 128;
+
+} // namespace
+
+RelayRun::RelayRun(TrafficState& aState,
+                   beast::tcp_stream& aPeer,
+                   CallerWatch& aWatch,
+                   CallerRequest& aRequest,
+                   CallerBody& aBody)
+  : state(aState)
+  , peer(aPeer)
+  , watch(aWatch)
+  , request(aRequest)
+  , body(aBody)
+{
+  ++this->state.openRequests;
+  ++this->state.relayedRequests;
+}
+
+RelayRun::~RelayRun()
+{
+  --this->state.openRequests;
+  --this->state.relayedRequests;
+}
+
+bool
+RelayRun::KeepsAlive() const
+{
+  return this->request.keep_alive() && !this->state.isStopping && this->body.IsWhole();
+}
+
+std::chrono::milliseconds
+RelayRun::TimeLeft() const
+{
+  return std::max(ToMilliseconds(this->deadlineAt - BootClock::Now()),
+                  std::chrono::milliseconds(1));
+}
+
+CallerResponse
+RelayRun::MakeResponse(SendOutcome aOutcome) const
+{
+  return { this->peer,
+           { .version = this->request.version(),
+             .isHead = this->request.method() == http::verb::head,
+             .keepsAlive = this->KeepsAlive(),
+             .relayOutcome = ToString(aOutcome) } };
+}
+
+const char*
+RelayRun::RejectionReason() const
+{
+  if (this->state.isClosing) {
+    return "stopping";
+  }
+  if (this->state.relayedRequests > kMaxRelayedRequests) {
+    return "too_many";
+  }
+  if (!this->state.dispatcher.AcceptsRequests(this->server)) {
+    return "server_unknown_or_leaving";
+  }
+  if (this->state.paths.IsLost(*this->state.dispatcher.FindServer(this->server))) {
+    return "no_path";
+  }
+  return nullptr;
+}
+
+Task<bool>
+RelayRun::Run()
+{
+  this->requestId = std::string(ToStd(this->request[platform::kRequestIdHeader]));
+  this->server = std::string(ToStd(this->request[platform::kTargetHeader]));
+  const auto left = ParseInteger(this->request[platform::kDeadlineHeader]);
+  this->deadlineAt = BootClock::Now() + std::chrono::milliseconds(left.value_or(0));
+  if (const char* const reason = this->RejectionReason()) {
+    this->state.metrics.Count("plantainhaven_relay_rejections_total", "reason", reason);
+    co_return co_await this->RespondOutcome(SendOutcome::kNotRelayed);
+  }
+  // While a body is still being received, its reader detects that the other VM disconnects.
+  if (this->body.IsWhole()) {
+    this->watch.Start();
+  }
+  const BackendServer target = *this->state.dispatcher.FindServer(this->server);
+  const bool isOpen = co_await this->Attempt(target);
+  this->watch.Stop();
+  co_return isOpen;
+}
+
+Task<bool>
+RelayRun::Attempt(const BackendServer& aServer)
+{
+  const BootTime startedAt = BootClock::Now();
+  this->state.dispatcher.BeginRelayed(aServer);
+  const auto end = [&](SendOutcome aOutcome) {
+    this->state.metrics.Count("plantainhaven_relayed_total", "outcome", ToString(aOutcome));
+    this->state.dispatcher.EndRelayed(
+      aServer, aOutcome, ToMilliseconds(BootClock::Now() - startedAt));
+  };
+  ServerAttempt attempt(this->state, aServer, ServerWay{});
+  Exchange& exchange = attempt.Wire();
+  this->watch.OnDisconnect([&exchange] { exchange.Cancel(); });
+  // The other VM's request may not be idempotent, so the stricter limit applies to all.
+  const bool isConnected = co_await attempt.Connect(kMaxIdleNonIdempotent, this->TimeLeft());
+  this->watch.CheckNow();
+  if (this->HasPeerDisconnected()) {
+    end(SendOutcome::kAbandoned);
+    co_return false;
+  }
+  if (!isConnected) {
+    end(SendOutcome::kNoConnection);
+    const bool isPathLost = this->state.paths.IsLost(aServer);
+    co_return co_await this->RespondOutcome(isPathLost ? SendOutcome::kNotRelayed
+                                                       : SendOutcome::kNoConnection);
+  }
+  ServerRequestHead head = RelayedHead(this->request, this->TimeLeft());
+  const auto timeout = this->TimeLeft() + kResponseTransitTime;
+  const std::function<bool()> mayRepeat = [] { return false; };
+  co_await attempt.Send(std::move(head), this->body, timeout, mayRepeat);
+  if (this->HasPeerDisconnected() && !exchange.IsAnswered()) {
+    end(SendOutcome::kAbandoned);
+    co_return false;
+  }
+  const bool hasResponse =
+    exchange.IsAnswered() && (exchange.IsWhole() || exchange.Outcome() == SendOutcome::kServed);
+  bool isOpen = false;
+  if (hasResponse) {
+    isOpen = co_await this->ForwardResponse(exchange);
+    end(this->watch.HasDisconnected() ? SendOutcome::kAbandoned : exchange.Outcome());
+  } else {
+    end(attempt.Evidence());
+    isOpen = co_await this->RespondOutcome(exchange.Outcome());
+  }
+  this->watch.OnDisconnect(nullptr);
+  co_return isOpen;
+}
+
+Task<bool>
+RelayRun::ForwardResponse(Exchange& aExchange)
+{
+  CallerResponse response = this->MakeResponse(aExchange.Outcome());
+  const bool isWritten = co_await response.Forward(aExchange);
+  if (!isWritten) {
+    aExchange.Cancel();
+    co_return false;
+  }
+  aExchange.Finish();
+  co_return this->KeepsAlive();
+}
+
+Task<bool>
+RelayRun::RespondOutcome(SendOutcome aOutcome)
+{
+  CallerResponse response = this->MakeResponse(aOutcome);
+  const Refusal refusal{ .status = 502, .reason = ToString(aOutcome) };
+  const bool isWritten = co_await response.Refuse(refusal, this->requestId);
+  co_return isWritten&& this->KeepsAlive();
+}
+
+} // namespace plantainhaven::edge
--- a/src/edge/request_run.cc
+++ b/src/edge/request_run.cc
@@ -1,6 +1,7 @@
 #include "edge/request_run.h"
 
 #include "edge/forwarding.h"
+#include "edge/reserved_slot.h"
 #include "plantainhaven/common/log.h"
 #include "plantainhaven/policy/placing/rendezvous.h"
 #include "platform/decode.h"
@@ -13,34 +14,15 @@
 namespace plantainhaven::edge {
 namespace {
 
-using SteadyTime = std::chrono::steady_clock::time_point;
-
 // Failed connection attempts after which the request is rejected; bounds the time spent on servers
 // that are down.
 constexpr int kMaxConnectFailures = 3;
-// Timeout for a new connection to a backend server: several round trips between the two most
-// distant regions.
-constexpr std::chrono::milliseconds kConnectTimeout{ 400 };
-// A server may respond as late as the deadline that it was given. This is the extra time for its
-// response to arrive.
-constexpr std::chrono::milliseconds kResponseTransitTime{ 80 };
-// A request that isn't idempotent reuses only a connection that was used this recently, because the
-// server may be closing one that has been idle for longer, and the request can't be retried.
-constexpr std::chrono::milliseconds kMaxIdleNonIdempotent{ 1500 };
 constexpr std::chrono::milliseconds kMaxIdle{ 60000 };
 constexpr std::chrono::milliseconds kDefaultTimeout{ 10000 };
 constexpr std::chrono::milliseconds kUnconfiguredRetryAfter{ 300 };
 constexpr std::chrono::milliseconds kNotExecutedRetryAfter{ 200 };
 constexpr std::chrono::milliseconds kStoppingRetryAfter{ 50 };
 
-const char*
-OutcomeName(SendOutcome aOutcome)
-{
-  constexpr std::array<const char*, 8> kNames{ "served",        "failed", "shed",    "misdirected",
-                                               "no_connection", "broken", "timeout", "abandoned" };
-  return kNames[static_cast<std::size_t>(aOutcome)];
-}
-
 } // namespace
 
 RequestRun::RequestRun(TrafficState& aState,
@@ -229,45 +211,56 @@
 Task<RequestRun::Next>
 RequestRun::Attempt(const BackendServer& aServer)
 {
-  const BootTime startedAt = BootClock::Now();
-  const auto steadyNow = std::chrono::steady_clock::now();
+  ReservedSlot slot(this->state.dispatcher, aServer);
   const std::chrono::milliseconds left = this->TimeLeft();
-  Exchange exchange(this->state.context, this->state.pool, aServer);
-  const auto end = [&](SendOutcome aOutcome) {
-    this->state.dispatcher.End(aServer, aOutcome, ToMilliseconds(BootClock::Now() - startedAt));
-  };
+  ServerWay way = this->state.paths.WayTo(aServer, this->dispatchRequest.allowed);
   this->dispatchRequest.excluded.push_back(aServer.id);
   if (left.count() <= 0) {
-    end(SendOutcome::kAbandoned);
+    slot.End(SendOutcome::kAbandoned);
     this->Refuse(this->mayHaveExecuted ? 504 : 503, "deadline", kNotExecutedRetryAfter);
     co_return Next::kDone;
   }
+  if (way.kind == ServerWay::Kind::kNone) {
+    slot.End(SendOutcome::kNotRelayed);
+    this->Refuse(this->mayHaveExecuted ? 502 : 503, "no_path", kNotExecutedRetryAfter);
+    co_return Next::kDone;
+  }
+  ServerAttempt attempt(this->state, aServer, std::move(way));
+  Exchange& exchange = attempt.Wire();
   this->watch.OnDisconnect([&exchange] { exchange.Cancel(); });
-  const auto maxIdle = this->route->isIdempotent ? kMaxIdle : kMaxIdleNonIdempotent;
-  const SteadyTime until = steadyNow + std::min(left, kConnectTimeout);
-  const bool isConnected = co_await exchange.Connect(maxIdle, until);
-  this->state.metrics.Count(
-    "plantainhaven_server_connects_total", "result", exchange.ConnectResult());
+  const bool isConnected = co_await attempt.Connect(this->MaxIdle(aServer), left);
   this->watch.CheckNow();
   if (this->watch.HasDisconnected()) {
-    end(SendOutcome::kAbandoned);
+    slot.End(SendOutcome::kAbandoned);
     this->state.metrics.Count("plantainhaven_caller_left_total", "while", "connecting");
     co_return Next::kClose;
   }
   if (!isConnected) {
-    end(SendOutcome::kNoConnection);
-    this->LogFailure(aServer, exchange);
-    co_return this->AfterNoConnection();
+    slot.End(attempt.Evidence());
+    this->LogFailure(aServer, attempt);
+    co_return this->AfterNotSent(aServer, attempt);
   }
   ++this->attempts;
   if (this->attempts == 1) {
     this->state.dispatcher.OnFirstAttempt(this->dispatchRequest.service);
   }
-  ServerRequestHead head = ForwardedHead(this->request,
-                                         aServer,
-                                         this->account,
-                                         std::max(this->TimeLeft(), std::chrono::milliseconds(1)));
-  co_await exchange.Send(std::move(head), this->body, steadyNow + left + kResponseTransitTime);
+  const Next next = co_await this->Send(aServer, attempt, slot);
+  this->watch.OnDisconnect(nullptr);
+  co_return next;
+}
+
+Task<RequestRun::Next>
+RequestRun::Send(const BackendServer& aServer, ServerAttempt& aAttempt, ReservedSlot& aSlot)
+{
+  Exchange& exchange = aAttempt.Wire();
+  const auto left = std::max(this->TimeLeft(), std::chrono::milliseconds(1));
+  ServerRequestHead head = ForwardedHead(this->request, aServer, this->account, left);
+  const std::function<bool()> mayRepeat = [this, &aSlot] {
+    // What the server still runs of this VM's requests doesn't tell whether it is busy.
+    aSlot.End(SendOutcome::kAbandoned);
+    return this->MayRepeat();
+  };
+  co_await aAttempt.Send(std::move(head), this->body, left + kResponseTransitTime, mayRepeat);
   if (exchange.Load()) {
     this->state.dispatcher.OnLoad(aServer.id, *exchange.Load());
   }
@@ -275,39 +268,34 @@
     this->state.dispatcher.OnLimit(aServer.id, exchange.Limit()->rate);
   }
   if (this->body.Fault() == http::error::body_limit) {
-    end(SendOutcome::kAbandoned);
+    aSlot.End(SendOutcome::kAbandoned);
     exchange.Cancel();
     this->Refuse(413, "body_too_large", {});
     co_return Next::kDone;
   }
   if (this->watch.HasDisconnected() || (this->body.HasFailed() && !exchange.IsAnswered())) {
-    end(SendOutcome::kAbandoned);
+    aSlot.End(SendOutcome::kAbandoned);
     this->state.metrics.Count("plantainhaven_caller_left_total", "while", "running");
     co_return Next::kClose;
   }
-  if (exchange.Outcome() == SendOutcome::kServed && exchange.IsWhole()) {
-    end(SendOutcome::kServed);
-    this->LogServed(aServer, exchange, startedAt);
-    this->state.dispatcher.OnResponseBytes(this->route->name, exchange.BodyBytes());
-    const Next next = co_await this->ForwardResponse(exchange);
-    this->watch.OnDisconnect(nullptr);
-    co_return next;
+  if (aAttempt.IsWayLost()) {
+    aSlot.End(aAttempt.Evidence());
+    this->mayHaveExecuted = true;
+    this->state.metrics.Count("plantainhaven_repeats_total", "reason", "path_lost");
+    co_return Next::kRetry;
   }
   if (exchange.Outcome() == SendOutcome::kServed) {
-    const Next next = co_await this->ForwardResponse(exchange);
-    const bool hasDisconnected = this->watch.HasDisconnected();
-    this->watch.OnDisconnect(nullptr);
-    SendOutcome outcome = exchange.Outcome();
-    if (hasDisconnected) {
-      outcome = SendOutcome::kAbandoned;
-    }
-    end(outcome);
-    co_return next;
+    co_return co_await this->AfterServed(aServer, aAttempt, aSlot);
+  }
+  this->LogFailure(aServer, aAttempt);
+  if (aAttempt.WasNotSent()) {
+    --this->attempts;
+    aSlot.End(aAttempt.Evidence());
+    exchange.Finish();
+    co_return this->AfterNotSent(aServer, aAttempt);
   }
   const Next next = this->AfterFailure(exchange);
-  end(exchange.Outcome());
-  this->LogFailure(aServer, exchange);
-  this->watch.OnDisconnect(nullptr);
+  aSlot.End(aAttempt.Evidence());
   // An error response of the server itself is forwarded when the request can't be retried.
   const bool isServerResponse =
     exchange.Outcome() == SendOutcome::kFailed && exchange.Status() >= 500 &&
@@ -320,18 +308,55 @@
   co_return next;
 }
 
+Task<RequestRun::Next>
+RequestRun::AfterServed(const BackendServer& aServer, ServerAttempt& aAttempt, ReservedSlot& aSlot)
+{
+  Exchange& exchange = aAttempt.Wire();
+  if (exchange.IsWhole()) {
+    aSlot.End(SendOutcome::kServed);
+    this->LogServed(aServer, aAttempt, aSlot.StartedAt());
+    this->state.dispatcher.OnResponseBytes(this->route->name, exchange.BodyBytes());
+    co_return co_await this->ForwardResponse(exchange);
+  }
+  const Next next = co_await this->ForwardResponse(exchange);
+  const bool hasDisconnected = this->watch.HasDisconnected();
+  this->watch.OnDisconnect(nullptr);
+  aSlot.End(hasDisconnected ? SendOutcome::kAbandoned : aAttempt.Evidence());
+  co_return next;
+}
+
 RequestRun::Next
-RequestRun::AfterNoConnection()
+RequestRun::AfterNotSent(const BackendServer& aServer, const ServerAttempt& aAttempt)
 {
   ++this->connectFailures;
   this->state.metrics.Count("plantainhaven_send_failures_total", "outcome", "no_connection");
-  if (this->connectFailures<kMaxConnectFailures&& this->TimeLeft().count()> 0) {
+  if (aAttempt.Evidence() == SendOutcome::kNotRelayed) {
+    // Nothing is known against the server: another VM may relay the request to it.
+    std::erase(this->dispatchRequest.excluded, aServer.id);
+  }
+  if (this->connectFailures<kMaxConnectFailures&& this->TimeLeft().count()> 0 &&
+      !this->body.IsConsumed()) {
     return Next::kRetry;
   }
   this->Refuse(this->mayHaveExecuted ? 502 : 503, "no_connection", kNotExecutedRetryAfter);
   return Next::kDone;
 }
 
+std::chrono::milliseconds
+RequestRun::MaxIdle(const BackendServer& aServer) const
+{
+  if (this->state.paths.IsDoubtful(aServer)) {
+    return std::chrono::milliseconds(0);
+  }
+  return this->route->isIdempotent ? kMaxIdle : kMaxIdleNonIdempotent;
+}
+
+bool
+RequestRun::MayRepeat()
+{
+  return this->route->isIdempotent && !this->body.IsConsumed() && this->MayRetry();
+}
+
 bool
 RequestRun::MayRetry()
 {
@@ -345,20 +370,20 @@
 RequestRun::AfterFailure(const Exchange& aExchange)
 {
   const SendOutcome outcome = aExchange.Outcome();
-  this->state.metrics.Count("plantainhaven_send_failures_total", "outcome", OutcomeName(outcome));
+  this->state.metrics.Count("plantainhaven_send_failures_total", "outcome", ToString(outcome));
   this->mayHaveExecuted = this->mayHaveExecuted || !aExchange.IsNotExecuted();
   const bool isRetryable =
     (aExchange.IsNotExecuted() || this->route->isIdempotent) && !this->body.IsConsumed();
   if (outcome != SendOutcome::kTimeout && isRetryable && this->MayRetry()) {
-    this->state.metrics.Count("plantainhaven_repeats_total", "reason", OutcomeName(outcome));
+    this->state.metrics.Count("plantainhaven_repeats_total", "reason", ToString(outcome));
     return Next::kRetry;
   }
   if (outcome == SendOutcome::kTimeout) {
     this->Refuse(504, "timeout", {});
   } else if (this->mayHaveExecuted) {
-    this->Refuse(502, OutcomeName(outcome), {});
+    this->Refuse(502, ToString(outcome), {});
   } else {
-    this->Refuse(503, OutcomeName(outcome), kNotExecutedRetryAfter);
+    this->Refuse(503, ToString(outcome), kNotExecutedRetryAfter);
   }
   return Next::kDone;
 }
@@ -411,12 +436,10 @@
 }
 
 void
-RequestRun::LogServed(const BackendServer& aServer,
-                      const Exchange& aExchange,
-                      BootTime aSentAt) const
+RequestRun::LogServed(const BackendServer& aServer, ServerAttempt& aAttempt, BootTime aSentAt) const
 {
   const BootTime now = BootClock::Now();
-  const ServerLoad load = aExchange.Load().value_or(ServerLoad());
+  const ServerLoad load = aAttempt.Wire().Load().value_or(ServerLoad());
   Log(LogLevel::kInfo,
       "served",
       { { "request", this->requestId },
@@ -426,6 +449,7 @@
         { "service", aServer.service },
         { "server", aServer.id },
         { "region", aServer.region },
+        { "relayed", aAttempt.IsRelayed() },
         { "sends", this->attempts },
         { "token_ms", ToMilliseconds(this->admittedAt - this->arrivedAt).count() },
         { "room_ms", ToMilliseconds(this->dispatchedAt - this->admittedAt).count() },
@@ -437,18 +461,20 @@
 }
 
 void
-RequestRun::LogFailure(const BackendServer& aServer, const Exchange& aExchange) const
+RequestRun::LogFailure(const BackendServer& aServer, ServerAttempt& aAttempt) const
 {
+  const Exchange& exchange = aAttempt.Wire();
   Log(LogLevel::kInfo,
       "send_failed",
       { { "request", this->requestId },
         { "server", aServer.id },
         { "service", aServer.service },
         { "region", aServer.region },
-        { "reused", aExchange.IsReused() },
-        { "outcome", OutcomeName(aExchange.Outcome()) },
-        { "fault", aExchange.Fault() },
-        { "not_run", aExchange.IsNotExecuted() },
+        { "relayed", aAttempt.IsRelayed() },
+        { "reused", exchange.IsReused() },
+        { "outcome", ToString(exchange.Outcome()) },
+        { "fault", exchange.Fault() },
+        { "not_run", exchange.IsNotExecuted() },
         { "sends", this->attempts },
         { "left_ms", this->TimeLeft().count() } });
 }
--- a/src/edge/request_run.h
+++ b/src/edge/request_run.h
@@ -3,36 +3,20 @@
 #include "edge/caller_body.h"
 #include "edge/caller_response.h"
 #include "edge/caller_watch.h"
-#include "edge/dispatcher.h"
 #include "edge/exchange.h"
 #include "edge/names.h"
 #include "edge/net.h"
-#include "edge/token_broker.h"
-#include "plantainhaven/common/metrics.h"
+#include "edge/server_attempt.h"
+#include "edge/traffic_state.h"
 
 #include <memory>
 #include <optional>
-#include <random>
 #include <string>
 #include <string_view>
 
 namespace plantainhaven::edge {
 
-// State that all requests on the traffic thread share.
-struct TrafficState
-{
-  asio::io_context& context;
-  Dispatcher& dispatcher;
-  TokenBroker& tokens;
-  UpstreamPool& pool;
-  Metrics& metrics;
-  std::mt19937_64& random;
-  // SIGTERM was received: responses tell callers to close their connections.
-  bool isStopping = false;
-  // The process is about to exit: new requests are rejected.
-  bool isClosing = false;
-  int openRequests = 0;
-};
+class ReservedSlot;
 
 // Handles one request of a caller, from its head to the last byte of its response.
 class RequestRun
@@ -72,8 +56,20 @@
   void PrepareDispatch();
   std::string PickService();
   Task<Next> Attempt(const BackendServer& aServer);
+  // Sends the request over the attempt's connection and handles the response.
+  Task<Next> Send(const BackendServer& aServer, ServerAttempt& aAttempt, ReservedSlot& aSlot);
+  // Handles an attempt that got a response that can be forwarded.
+  Task<Next> AfterServed(const BackendServer& aServer,
+                         ServerAttempt& aAttempt,
+                         ReservedSlot& aSlot);
   Next AfterFailure(const Exchange& aExchange);
-  Next AfterNoConnection();
+  // Handles an attempt that sent nothing to the server.
+  Next AfterNotSent(const BackendServer& aServer, const ServerAttempt& aAttempt);
+  // How long a connection to the server may have been idle for the request to use it.
+  std::chrono::milliseconds MaxIdle(const BackendServer& aServer) const;
+  // Whether the request may be sent once more although an earlier attempt may still run. Uses up
+  // a token of the retry budget if so.
+  bool MayRepeat();
   bool MayRetry();
   Task<Next> ForwardResponse(Exchange& aExchange);
   Task<bool> WriteRefusal();
@@ -85,9 +81,9 @@
     return this->watch.HasDisconnected() || this->body.HasFailed();
   }
   std::chrono::milliseconds TimeLeft() const;
-  void LogFailure(const BackendServer& aServer, const Exchange& aExchange) const;
+  void LogFailure(const BackendServer& aServer, ServerAttempt& aAttempt) const;
   // Logs how long a served request spent waiting for its token, for a slot and for the server.
-  void LogServed(const BackendServer& aServer, const Exchange& aExchange, BootTime aSentAt) const;
+  void LogServed(const BackendServer& aServer, ServerAttempt& aAttempt, BootTime aSentAt) const;
 
   TrafficState& state;
   beast::tcp_stream& caller;
--- a/src/edge/traffic.cc
+++ b/src/edge/traffic.cc
@@ -34,6 +34,10 @@
 // Time reserved at the end of the grace period to close connections and exit.
 constexpr std::chrono::milliseconds kStopMargin{ 400 };
 constexpr std::chrono::milliseconds kStopPoll{ 20 };
+// Idle connections kept to a backend server, more than a VM's typical share of its slots, and to a
+// relaying VM, which takes the requests for many servers.
+constexpr std::size_t kMaxIdlePerServer = 16;
+constexpr std::size_t kMaxIdlePerRelay = 64;
 constexpr double kRetryRatioFraction = 0.9;
 // Fraction of the largest permitted shift that is used in two seconds, and the number of
 // steps in that time.
@@ -69,7 +73,10 @@
   , dispatcher(aContext, OptionsOf(aSettings, aBounds), aMetrics)
   , random(std::random_device{}())
   , tokens(aContext, aMetrics, std::move(aSendToPeer), this->random)
-  , state{ aContext, dispatcher, tokens, pool, aMetrics, this->random }
+  , pool(kMaxIdlePerServer)
+  , relayPool(kMaxIdlePerRelay)
+  , paths(aContext, this->pool, aMetrics, this->random, aSettings.vm().region())
+  , state{ aContext, dispatcher, tokens, pool, relayPool, paths, aMetrics, this->random }
 {
 }
 
@@ -95,7 +102,9 @@
     return this->AnswerLookup({ aRequest.target().data(), aRequest.target().size() });
   });
   Tcp::acceptor acceptor = Listen(this->context, ToEndpoint(listen.callers()));
-  asio::co_spawn(this->context, this->AcceptCallers(std::move(acceptor)), asio::detached);
+  asio::co_spawn(
+    this->context, this->AcceptCallers(std::move(acceptor), kCallerSession), asio::detached);
+  this->StartRelay();
   asio::co_spawn(this->context, this->RunTicks(), asio::detached);
   asio::co_spawn(this->context, this->RunReports(), asio::detached);
 }
@@ -118,8 +127,29 @@
            .body = platform::EncodeLookupResponse(addresses, validity) };
 }
 
+void
+Traffic::StartRelay()
+{
+  const auto& listen = this->settings.listen();
+  auto acceptor = ListenInRange(this->context,
+                                this->settings.vm().address(),
+                                { listen.relay_ports().begin(), listen.relay_ports().end() },
+                                { listen.peers(), listen.metrics() });
+  if (!acceptor) {
+    Log(LogLevel::kError,
+        "relay_unavailable",
+        { { "remedy", "Set listen.relay_ports to a range with a free port." } });
+    return;
+  }
+  this->relayEndpoint =
+    this->settings.vm().address() + ":" + std::to_string(acceptor->local_endpoint().port());
+  Log(LogLevel::kInfo, "relay", { { "endpoint", this->relayEndpoint } });
+  asio::co_spawn(
+    this->context, this->AcceptCallers(std::move(*acceptor), kRelaySession), asio::detached);
+}
+
 Task<void>
-Traffic::AcceptCallers(Tcp::acceptor aAcceptor)
+Traffic::AcceptCallers(Tcp::acceptor aAcceptor, const SessionHandler& aHandler)
 {
   asio::steady_timer pause(this->context);
   while (aAcceptor.is_open()) {
@@ -131,8 +161,9 @@
       co_await Sleep(pause, kAcceptPause);
       continue;
     }
-    this->metrics.Count("plantainhaven_caller_connections_total");
-    asio::co_spawn(this->context, ServeCaller(this->state, std::move(socket)), asio::detached);
+    this->metrics.Count(aHandler.connectionsMetric);
+    asio::co_spawn(
+      this->context, ServeSession(this->state, std::move(socket), aHandler), asio::detached);
   }
 }
 
@@ -142,8 +173,9 @@
   asio::steady_timer timer(this->context);
   for (int tick = 1;; ++tick) {
     co_await Sleep(timer, kTickInterval);
+    this->ApplyPaths();
     this->dispatcher.Tick();
-    if (this->IsReady() != this->wasReady || this->IsLimitNewsDue()) {
+    if (this->IsReady() != this->wasReady || this->IsNewsDue()) {
       this->PublishReport();
     }
     if (tick % kTicksPerTokenUpdate == 0) {
@@ -151,6 +183,7 @@
     }
     if (tick % kTicksPerIdleSweep == 0) {
       this->pool.CloseExpired();
+      this->relayPool.CloseExpired();
     }
   }
 }
@@ -166,11 +199,19 @@
   }
 }
 
+void
+Traffic::ApplyPaths()
+{
+  this->paths.Tick();
+  this->dispatcher.SetUnreachableDomains(this->paths.UnreachableDomains());
+}
+
 bool
-Traffic::IsLimitNewsDue()
+Traffic::IsNewsDue()
 {
   return BootClock::Now() - this->reportedAt >= kMinReportInterval &&
-         this->dispatcher.HasLimitNews();
+         (this->dispatcher.HasLimitNews() ||
+          this->paths.LostDomains() != this->reportedLostDomains);
 }
 
 void
@@ -182,6 +223,12 @@
   report.set_ready(this->wasReady);
   report.set_leaving(this->state.isStopping);
   this->dispatcher.FillReport(report);
+  this->reportedLostDomains = this->paths.LostDomains();
+  for (const std::string& domain : this->reportedLostDomains) {
+    report.add_lost_domains(domain);
+  }
+  report.set_relay(this->relayEndpoint);
+  report.set_relayed_requests(static_cast<std::uint32_t>(this->state.relayedRequests));
   this->publishReport(std::move(report));
 }
 
@@ -223,6 +270,9 @@
   for (const PlacingPeer& member : this->fleet.members) {
     text << "fleet name=" << member.name << " region=" << member.region << "\n";
   }
+  for (const std::string& domain : this->paths.LostDomains()) {
+    text << "path_lost failure_domain=" << domain << "\n";
+  }
   for (const QuotaHolder& holder : this->fleet.holders) {
     text << "quota holder=" << holder.endpoint << " begin=" << holder.range.begin
          << " end=" << holder.range.end << "\n";
@@ -239,6 +289,7 @@
     ids.insert(server.id);
   }
   this->pool.KeepOnly(ids);
+  this->paths.SetServers(aServers);
   this->dispatcher.SetServers(aServers, aReadAt);
 }
 
@@ -253,6 +304,7 @@
 {
   this->fleet = std::move(aFleet);
   this->tokens.SetHolders(this->fleet.holders);
+  this->paths.SetRelays(this->fleet.relays);
   this->dispatcher.SetPeers(this->fleet.senders);
   this->dispatcher.SetFleet(this->fleet.members);
   this->dispatcher.SetPeerDemand(this->fleet.demand);
--- a/src/edge/traffic.h
+++ b/src/edge/traffic.h
@@ -1,9 +1,10 @@
 #pragma once
 
+#include "edge/caller_session.h"
 #include "edge/dispatcher.h"
 #include "edge/names.h"
 #include "edge/net.h"
-#include "edge/request_run.h"
+#include "edge/server_paths.h"
 #include "edge/simple_server.h"
 #include "edge/token_broker.h"
 #include "edge/upstream_pool.h"
@@ -13,6 +14,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,6 +39,8 @@
   std::vector<QuotaHolder> holders;
   // Demand of the other VMs by service and region, in concurrent requests.
   std::map<std::string, std::map<std::string, double>> demand;
+  // The other VMs that may relay requests to backend servers.
+  std::vector<placing::RelayVm> relays;
   // Split between regions that another VM in this region uses, by service.
   std::map<std::string, std::vector<RegionShare>> plans;
 };
@@ -71,12 +75,17 @@
   TokenBroker& Tokens() { return this->tokens; }
 
 private:
-  Task<void> AcceptCallers(Tcp::acceptor aAcceptor);
+  Task<void> AcceptCallers(Tcp::acceptor aAcceptor, const SessionHandler& aHandler);
+  // Accepts requests that other VMs relay through this one.
+  void StartRelay();
+  // Keeps the dispatcher from servers to which there is no way, and tells other VMs of lost paths.
+  void ApplyPaths();
   Task<void> RunTicks();
   Task<void> RunReports();
   void PublishReport();
-  // Whether other VMs must learn of a server's changed rate limit before the next regular report.
-  bool IsLimitNewsDue();
+  // Whether other VMs must learn of a server's changed rate limit, or of a path that was lost or
+  // regained, before the next regular report.
+  bool IsNewsDue();
   Task<void> RunStop(std::function<void()> aOnStopped);
   SimpleResponse AnswerLookup(std::string_view aTarget) const;
   bool IsReady() const;
@@ -90,7 +99,13 @@
   std::mt19937_64 random;
   TokenBroker tokens;
   UpstreamPool pool;
+  UpstreamPool relayPool;
+  ServerPaths paths;
   TrafficState state;
+  // "ADDRESS:PORT" where requests of other VMs are accepted.
+  std::string relayEndpoint;
+  // The failure domains without a path in the last report.
+  std::set<std::string> reportedLostDomains;
   FleetView fleet;
   // Time of the first configuration.
   BootTime configuredAt{};
--- a/src/edge/upstream_pool.cc
+++ b/src/edge/upstream_pool.cc
@@ -2,14 +2,16 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <utility>
 
 namespace plantainhaven::edge {
 namespace {
 
-// Idle connections kept per server; more than a VM's typical share of a server's slots.
-constexpr std::size_t kMaxIdlePerServer = 16;
+// A connection is closed when sent bytes stay unacknowledged for this long, as in a network
+// partition or after a host failure. TCP applies it to keep-alive probes as well.
+constexpr std::chrono::milliseconds kUserTimeout{ 3000 };
 
 // True when the connection is open and has no bytes to read. Bytes received while no request is in
 // flight belong to no request, so such a connection can't be reused.
@@ -30,9 +32,22 @@
 
 } // namespace
 
+void
+PrepareUpstream(Upstream& aUpstream)
+{
+  Tcp::socket& socket = aUpstream.stream.socket();
+  beast::error_code ignored;
+  socket.set_option(Tcp::no_delay(true), ignored);
+  const auto timeout = static_cast<unsigned>(kUserTimeout.count());
+  ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+}
+
 UpstreamPtr
 UpstreamPool::Acquire(const std::string& aServer, std::chrono::milliseconds aMaxIdle)
 {
+  if (aMaxIdle == std::chrono::milliseconds(0)) {
+    return nullptr;
+  }
   const auto found = this->idle.find(aServer);
   const BootTime now = BootClock::Now();
   while (found != this->idle.end() && !found->second.empty()) {
@@ -51,7 +66,7 @@
 {
   aUpstream->idleSince = BootClock::Now();
   std::vector<UpstreamPtr>& connections = this->idle[aServer];
-  if (connections.size() < kMaxIdlePerServer) {
+  if (connections.size() < this->maxIdle) {
     connections.push_back(std::move(aUpstream));
   }
 }
--- a/src/policy/placing/placement.cc
+++ b/src/policy/placing/placement.cc
@@ -202,6 +202,7 @@
   std::unordered_map<std::uint64_t, ServerRecord*> byHash;
   std::map<std::string, ServiceRecord, std::less<>> services;
   std::set<std::string> avoided;
+  std::set<std::string> unreachable;
   std::set<std::string> regions;
   RegionMix mix;
   ObjectLoad objectLoad;
@@ -322,7 +323,7 @@
 bool
 Placement::Impl::IsUsableNow(const ServerRecord& aRecord, BootTime aNow)
 {
-  if (aRecord.IsEjected(aNow)) {
+  if (aRecord.IsEjected(aNow) || this->unreachable.contains(aRecord.Entry().failureDomain)) {
     return false;
   }
   const std::string& home = aRecord.Entry().region;
@@ -560,6 +561,12 @@
   this->impl->BuildIndex();
 }
 
+void
+Placement::SetUnreachableDomains(const std::set<std::string>& aDomains)
+{
+  this->impl->unreachable = aDomains;
+}
+
 void
 Placement::SetPeers(const std::vector<PlacingPeer>& aPeers)
 {
@@ -633,6 +640,14 @@
   }
 }
 
+void
+Placement::OnRelayed(const std::string& aServer, BootTime aNow)
+{
+  if (ServerRecord* const record = this->impl->Find(aServer)) {
+    record->OnSent(aNow);
+  }
+}
+
 void
 Placement::OnEnded(const std::string& aServer,
                    SendOutcome aOutcome,
@@ -769,12 +784,18 @@
   return statuses;
 }
 
+const BackendServer*
+Placement::Find(const std::string& aServer) const
+{
+  const ServerRecord* const record = this->impl->Find(aServer);
+  return record == nullptr ? nullptr : &record->Entry();
+}
+
 bool
-Placement::MayUse(const std::string& aServer, BootTime aNow) const
+Placement::AcceptsRequests(const std::string& aServer) const
 {
   const ServerRecord* const record = this->impl->Find(aServer);
-  return record != nullptr && !record->Entry().isDraining && !record->IsAvoided() &&
-         this->impl->IsUsableNow(*record, aNow);
+  return record != nullptr && !record->Entry().isDraining && !record->IsAvoided();
 }
 
 } // namespace plantainhaven::placing
--- a/src/policy/placing/server_record.cc
+++ b/src/policy/placing/server_record.cc
@@ -83,7 +83,7 @@
 ServerRecord::OnEnded(SendOutcome aOutcome, std::chrono::milliseconds aDuration, BootTime aNow)
 {
   this->inFlight = std::max(0, this->inFlight - 1);
-  if (aOutcome == SendOutcome::kAbandoned) {
+  if (aOutcome == SendOutcome::kAbandoned || aOutcome == SendOutcome::kNotRelayed) {
     return;
   }
   const double sample = IsFailure(aOutcome) ? 1.0 : 0.0;
@@ -113,6 +113,7 @@
     case SendOutcome::kMisdirected:
     case SendOutcome::kTimeout:
     case SendOutcome::kAbandoned:
+    case SendOutcome::kNotRelayed:
       break;
   }
   if (IsFailure(aOutcome) && this->failureRate > kEjectionThreshold) {
--- a/test/edge/server_path_test.cc
+++ b/test/edge/server_path_test.cc
@@ -1,4 +1,5 @@
 #include "edge/cuttable_path.h"
+#include "edge/fleet.h"
 #include "edge/one_vm.h"
 #include "edge/traffic.h"
 
@@ -191,7 +192,7 @@
     }
   }
 
-  FleetView ViewOf(const Vm&) const
+  FleetView ViewOf(const Vm& aVm) const
   {
     FleetView view;
     view.canAcquireTokens = true;
@@ -201,6 +202,12 @@
       view.entries.push_back({ NameOf(i), listen.callers(), "north", "north-a" });
     }
     view.members = view.senders;
+    for (const auto& vm : this->vms) {
+      const auto relay = RelayOf(vm->settings.vm().name(), vm->report);
+      if (vm.get() != &aVm && relay) {
+        view.relays.push_back(*relay);
+      }
+    }
     return view;
   }
 
