Name VMs without a path in look-ups only while too few others are there

What callers saw: at a VM without a path each request made a detour through another VM, which costs time and traffic between failure domains.

VMs that have lost the paths to all backend servers are left out of look-ups as long as the others of the region make up half of its VMs; callers move within the validity of a look-up, and those that come all the same are relayed. The VMs stay ready.

Tests: relays at the edge of their promises (at most once while paths come and go, whole responses, true not run, most or all of the fleet cut off), and that no connection has both a user timeout and keep-alive probes, those of ZeroMQ included.

--- a/include/plantainhaven/policy/placing/caller_directory.h
+++ b/include/plantainhaven/policy/placing/caller_directory.h
@@ -15,11 +15,14 @@
   std::string callerEndpoint;
   std::string region;
   std::string failureDomain;
+  // Has a path of its own to backend servers; otherwise other VMs relay its requests.
+  bool hasServerPath = true;
 };
 
 // The addresses that a caller in `aRegion` should use: those of the VMs in that region, or of all
-// VMs if the region has none. Returns at most `aMaxCount` addresses, those in the caller's
-// failure domain first.
+// VMs if the region has none. VMs without a path to backend servers are left out as long as the
+// others are at least half of these VMs, so that the remaining ones aren't overloaded. Returns at
+// most `aMaxCount` addresses, those in the caller's failure domain first.
 std::vector<std::string>
 AddressesFor(const std::vector<EntryVm>& aVms,
              std::string_view aRegion,
--- a/src/edge/fleet.cc
+++ b/src/edge/fleet.cc
@@ -339,8 +339,11 @@
   view.members = this->roster.Members(now);
   view.members.push_back({ this->self, vm.region() });
   if (this->ownReport.ready()) {
-    view.entries.push_back(
-      { this->self, this->settings.listen().callers(), vm.region(), vm.failure_domain() });
+    view.entries.push_back({ this->self,
+                             this->settings.listen().callers(),
+                             vm.region(),
+                             vm.failure_domain(),
+                             !this->ownReport.has_no_path() });
   }
   for (const auto& [name, member] : this->members) {
     if (!this->IsAlive(member, now)) {
@@ -351,7 +354,11 @@
     view.holders.push_back(
       { RangeOf(member.record), member.record.endpoint(), report.region() == vm.region() });
     if (report.ready() && !report.leaving()) {
-      view.entries.push_back({ name, report.callers(), report.region(), report.failure_domain() });
+      view.entries.push_back({ name,
+                               report.callers(),
+                               report.region(),
+                               report.failure_domain(),
+                               !report.has_no_path() });
     }
     if (auto relay = RelayOf(name, report)) {
       view.relays.push_back(std::move(*relay));
--- a/src/edge/server_paths.cc
+++ b/src/edge/server_paths.cc
@@ -65,6 +65,14 @@
   return { .kind = ServerWay::Kind::kRelayed, .relay = std::move(*relay) };
 }
 
+bool
+ServerPaths::HasAnyPath() const
+{
+  return std::any_of(this->serversByDomain.begin(),
+                     this->serversByDomain.end(),
+                     [this](const auto& aEntry) { return !this->monitor.IsLost(aEntry.first); });
+}
+
 std::set<std::string>
 ServerPaths::UnreachableDomains() const
 {
--- a/src/edge/server_paths.h
+++ b/src/edge/server_paths.h
@@ -49,6 +49,8 @@
   ServerWay WayTo(const BackendServer& aServer, const AllowedRegions& aAllowed) const;
   // Failure domains to which this VM has no path.
   std::set<std::string> LostDomains() const { return this->monitor.LostDomains(); }
+  // Whether this VM has a path to any of the servers' failure domains.
+  bool HasAnyPath() const;
   bool IsLost(const BackendServer& aServer) const
   {
     return this->monitor.IsLost(aServer.failureDomain);
--- a/src/edge/traffic.cc
+++ b/src/edge/traffic.cc
@@ -227,6 +227,7 @@
   for (const std::string& domain : this->reportedLostDomains) {
     report.add_lost_domains(domain);
   }
+  report.set_has_no_path(!this->paths.HasAnyPath());
   report.set_relay(this->relayEndpoint);
   report.set_relayed_requests(static_cast<std::uint32_t>(this->state.relayedRequests));
   this->publishReport(std::move(report));
--- a/src/policy/placing/caller_directory.cc
+++ b/src/policy/placing/caller_directory.cc
@@ -4,6 +4,23 @@
 
 namespace plantainhaven::placing {
 
+namespace {
+
+// Keeps the VMs that have a path, and as many of the others as make up half of all. Keeps all if
+// none has a path.
+void
+LeaveOutVmsWithoutPath(std::vector<const EntryVm*>& aVms)
+{
+  const auto firstWithout = std::stable_partition(
+    aVms.begin(), aVms.end(), [](const EntryVm* aVm) { return aVm->hasServerPath; });
+  const auto withPath = static_cast<std::size_t>(firstWithout - aVms.begin());
+  if (withPath > 0) {
+    aVms.resize(std::max(withPath, (aVms.size() + 1) / 2));
+  }
+}
+
+} // namespace
+
 std::vector<std::string>
 AddressesFor(const std::vector<EntryVm>& aVms,
              std::string_view aRegion,
@@ -18,6 +35,7 @@
       candidates.push_back(&vm);
     }
   }
+  LeaveOutVmsWithoutPath(candidates);
   std::stable_sort(candidates.begin(),
                    candidates.end(),
                    [aFailureDomain](const EntryVm* aLeft, const EntryVm* aRight) {
--- a/test/edge/server_path_test.cc
+++ b/test/edge/server_path_test.cc
@@ -2,6 +2,7 @@
 #include "edge/fleet.h"
 #include "edge/one_vm.h"
 #include "edge/traffic.h"
+#include "plantainhaven/fleet/peer_link.h"
 
 #include <atomic>
 #include <boost/asio/post.hpp>
@@ -11,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <netinet/tcp.h>
 #include <set>
 #include <string>
 #include <thread>
@@ -115,6 +117,44 @@
     return statuses;
   }
 
+  // Sends one request on a new connection and returns its status.
+  std::string SendOne(int aVm, const std::string& aPath, int aObject)
+  {
+    asio::io_context context;
+    Tcp::socket socket(context);
+    beast::error_code fault;
+    socket.connect({ asio::ip::make_address("127.0.0.1"),
+                     this->vms[static_cast<std::size_t>(aVm)]->callersPort });
+    http::request<http::string_body> request(http::verb::post, aPath, 11);
+    request.set(http::field::host, "shop.example");
+    request.set(platform::kRequestIdHeader, "id-" + std::to_string(++this->requestCount));
+    request.set(platform::kAffinityKeyHeader, std::to_string(aObject));
+    request.set(platform::kDeadlineHeader, "900");
+    request.set(http::field::authorization, "Token key-1");
+    request.body() = "body";
+    request.prepare_payload();
+    http::write(socket, request, fault);
+    beast::flat_buffer buffer;
+    ReceivedResponse answer;
+    http::read(socket, buffer, answer, fault);
+    if (fault) {
+      return "closed";
+    }
+    const std::string reason = answer.body().substr(0, answer.body().find('\n'));
+    return std::to_string(answer.result_int()) + (answer.result_int() >= 400 ? " " + reason : "");
+  }
+
+  void SetHandler(const FakeHandler& aHandler)
+  {
+    for (const auto& server : this->servers) {
+      server->SetHandler(aHandler);
+    }
+  }
+  std::uint64_t Counter(int aVm, const char* aName, const char* aLabel, const char* aValue) const
+  {
+    return this->vms[static_cast<std::size_t>(aVm)]->metrics.Counter(aName, aLabel, aValue);
+  }
+
   // How often each request id arrived at any backend server.
   std::map<std::string, int> Arrivals() const
   {
@@ -211,32 +251,6 @@
     return view;
   }
 
-  std::string SendOne(int aVm, const std::string& aPath, int aObject)
-  {
-    asio::io_context context;
-    Tcp::socket socket(context);
-    beast::error_code fault;
-    socket.connect({ asio::ip::make_address("127.0.0.1"),
-                     this->vms[static_cast<std::size_t>(aVm)]->callersPort });
-    http::request<http::string_body> request(http::verb::post, aPath, 11);
-    request.set(http::field::host, "shop.example");
-    request.set(platform::kRequestIdHeader, "id-" + std::to_string(++this->requestCount));
-    request.set(platform::kAffinityKeyHeader, std::to_string(aObject));
-    request.set(platform::kDeadlineHeader, "900");
-    request.set(http::field::authorization, "Token key-1");
-    request.body() = "body";
-    request.prepare_payload();
-    http::write(socket, request, fault);
-    beast::flat_buffer buffer;
-    ReceivedResponse answer;
-    http::read(socket, buffer, answer, fault);
-    if (fault) {
-      return "closed";
-    }
-    const std::string reason = answer.body().substr(0, answer.body().find('\n'));
-    return std::to_string(answer.result_int()) + (answer.result_int() >= 400 ? " " + reason : "");
-  }
-
   std::vector<std::unique_ptr<FakeServer>> servers;
   std::mutex mutex;
   std::atomic<int> requestCount{ 0 };
@@ -270,5 +284,143 @@
   }
 }
 
+TEST_CASE("A VM without a path serves its callers while most of the fleet is cut off")
+{
+  for (const FormCase& entry : kForms) {
+    CAPTURE(entry.name);
+    FleetWithPaths fleet(4);
+    for (const int vm : { 0, 1, 2 }) {
+      fleet.SendFor(vm, milliseconds(200), 2);
+      fleet.Cut(vm, entry.form);
+    }
+    std::vector<std::thread> callers;
+    for (const int vm : { 0, 1, 2 }) {
+      callers.emplace_back([&fleet, vm] { fleet.SendFor(vm, kReactionTime, 3); });
+    }
+    for (std::thread& caller : callers) {
+      caller.join();
+    }
+    for (const int vm : { 0, 1, 2 }) {
+      CHECK(ServedFraction(fleet.SendFor(vm, milliseconds(500), 3)) >= 0.98);
+    }
+  }
+}
+
+TEST_CASE("No request is sent on when no VM has a path")
+{
+  FleetWithPaths fleet(3);
+  for (const int vm : { 0, 1, 2 }) {
+    fleet.Cut(vm, CutForm::kReset);
+    fleet.SendFor(vm, kReactionTime, 2);
+  }
+  Statuses statuses = fleet.SendFor(0, milliseconds(500), 2);
+  statuses.erase("503 no_server");
+  statuses.erase("503 no_path");
+  CHECK(statuses.empty());
+}
+
+// A repeat over another way ran requests twice that may not be repeated.
+TEST_CASE("A request that isn't idempotent runs once while paths are cut and healed")
+{
+  FleetWithPaths fleet(3);
+  std::atomic<bool> isDone{ false };
+  std::thread cutter([&fleet, &isDone] {
+    for (std::size_t i = 0; !isDone; ++i) {
+      fleet.Cut(0, kForms[i % kForms.size()].form);
+      std::this_thread::sleep_for(milliseconds(i % 2 == 0 ? 1500 : 150));
+      fleet.Heal(0);
+      std::this_thread::sleep_for(milliseconds(i % 2 == 0 ? 100 : 700));
+    }
+  });
+  const Statuses statuses = fleet.SendFor(0, seconds(8), 6, "/book/x");
+  isDone = true;
+  cutter.join();
+  CHECK(statuses.contains("200"));
+  for (const auto& [id, count] : fleet.Arrivals()) {
+    CAPTURE(id);
+    REQUIRE(count == 1);
+  }
+}
+
+TEST_CASE("A path that works again is used again")
+{
+  for (const FormCase& entry : kForms) {
+    CAPTURE(entry.name);
+    FleetWithPaths fleet(2);
+    fleet.Cut(0, entry.form);
+    fleet.SendFor(0, kReactionTime, 4);
+    const char* const relays = "plantainhaven_relay_connects_total";
+    const auto relayed = [&] {
+      return fleet.Counter(0, relays, "result", "connected") +
+             fleet.Counter(0, relays, "result", "reused");
+    };
+    CHECK(relayed() > 0);
+    fleet.Heal(0);
+    fleet.SendFor(0, kReactionTime, 4);
+    const std::uint64_t before = relayed();
+    CHECK(ServedFraction(fleet.SendFor(0, milliseconds(500), 4)) >= 0.98);
+    CHECK(relayed() == before);
+  }
+}
+
+TEST_CASE("A relayed response is forwarded whole or not at all")
+{
+  struct Case
+  {
+    std::string name;
+    FakeHandler handler;
+    std::string expected;
+  };
+  const Case cases[] = {
+    { "without a length", MissingContentLength, "200" },
+    { "truncated", Truncated, "502 broken" },
+    { "no HTTP", MalformedResponse, "502 broken" },
+    { "closed without a response", ClosedWithoutAnswer, "502 broken" },
+    { "without a signature", Unsigned, "502 failed" },
+    { "the server's failure", Failed, "500 failed" },
+    { "not run", Shed, "503 shed" },
+  };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.name);
+    FleetWithPaths fleet(2);
+    fleet.Cut(0, CutForm::kReset);
+    fleet.SendFor(0, kReactionTime, 4);
+    fleet.SetHandler(entry.handler);
+    CHECK(fleet.SendOne(0, "/book/x", 1) == entry.expected);
+  }
+}
+
+// With TCP_USER_TIMEOUT set, TCP ends a connection after that time without an answer to its
+// keep-alive probes, whatever their number.
+TEST_CASE("No connection has both a user timeout and keep-alive probes")
+{
+  FleetWithPaths fleet(2);
+  fleet.Cut(0, CutForm::kRefused);
+  fleet.SendFor(0, seconds(1), 2);
+  ZmqPeerLink receiver;
+  ZmqPeerLink sender;
+  const std::uint16_t port = FreePort();
+  REQUIRE(IsOk(receiver.Bind("127.0.0.1", port)));
+  Envelope message;
+  message.set_from("vm-1");
+  for (int i = 0; i < 50 && !receiver.Receive(milliseconds(100)); ++i) {
+    sender.Send("tcp://127.0.0.1:" + std::to_string(port), message);
+  }
+  int sockets = 0;
+  for (int descriptor = 0; descriptor < 1024; ++descriptor) {
+    unsigned timeout = 0;
+    socklen_t size = sizeof(timeout);
+    if (::getsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, &size) != 0) {
+      continue;
+    }
+    ++sockets;
+    int hasProbes = 0;
+    size = sizeof(hasProbes);
+    ::getsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &hasProbes, &size);
+    CHECK((timeout == 0 || hasProbes == 0));
+  }
+  CHECK(sockets > 4);
+}
+
 } // namespace
 } // namespace plantainhaven::edge
--- a/test/policy/placing/fleet_rules_test.cc
+++ b/test/policy/placing/fleet_rules_test.cc
@@ -175,5 +175,31 @@
   CHECK(routing.FindAccount("other") == nullptr);
 }
 
+TEST_CASE("Callers are sent to VMs with a path to backend servers while enough have one")
+{
+  struct Case
+  {
+    std::string name;
+    std::vector<bool> hasPath;
+    std::vector<std::string> named;
+  };
+  const Case cases[] = {
+    { "all", { true, true, true, true }, { "a:1", "a:2", "a:3", "a:4" } },
+    { "one without", { true, false, true, true }, { "a:1", "a:3", "a:4" } },
+    { "half without", { false, true, false, true }, { "a:2", "a:4" } },
+    { "most without", { false, false, false, true }, { "a:4", "a:1" } },
+    { "none with a path", { false, false, false, false }, { "a:1", "a:2", "a:3", "a:4" } },
+  };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.name);
+    std::vector<EntryVm> vms;
+    for (std::size_t i = 0; i < entry.hasPath.size(); ++i) {
+      const std::string name = std::to_string(i + 1);
+      vms.push_back({ name, "a:" + name, "north", "north-a", entry.hasPath[i] });
+    }
+    CHECK(AddressesFor(vms, "north", "north-a", 64) == entry.named);
+  }
+}
+
 } // namespace
 } // namespace plantainhaven::placing
