Tell the loads that relayed responses state, and answer for a leaving server as such

A relaying VM that knew a server as draining or didn't know it rejected the request as it does when it is full. The other VM then left that relay alone for 0.5 s, so that a drain could leave it without any relay on a small fleet. Found by reading. It now answers that no connection was made, and the other VM takes the next server. A relaying VM also adopts the load and the rate limit that the response states.

--- a/src/edge/relay_run.cc
+++ b/src/edge/relay_run.cc
@@ -68,9 +68,6 @@
   if (this->state.relayedRequests > kMaxRelayedRequests) {
     return "too_many";
   }
-  if (!this->state.dispatcher.AcceptsRequests(this->server)) {
-    return "server_unknown_or_leaving";
-  }
   if (this->state.paths.IsLost(*this->state.dispatcher.FindServer(this->server))) {
     return "no_path";
   }
@@ -84,9 +81,12 @@
   this->server = std::string(ToStd(this->request[platform::kTargetHeader]));
   const auto left = ParseInteger(this->request[platform::kDeadlineHeader]);
   this->deadlineAt = BootClock::Now() + std::chrono::milliseconds(left.value_or(0));
+  if (!this->state.dispatcher.AcceptsRequests(this->server)) {
+    // This concerns the server, so the other VM must choose another one, not another relay.
+    co_return co_await this->Reject("server_unknown_or_leaving", SendOutcome::kNoConnection);
+  }
   if (const char* const reason = this->RejectionReason()) {
-    this->state.metrics.Count("plantainhaven_relay_rejections_total", "reason", reason);
-    co_return co_await this->RespondOutcome(SendOutcome::kNotRelayed);
+    co_return co_await this->Reject(reason, SendOutcome::kNotRelayed);
   }
   // While a body is still being received, its reader detects that the other VM disconnects.
   if (this->body.IsWhole()) {
@@ -98,6 +98,16 @@
   co_return isOpen;
 }
 
+Task<bool>
+RelayRun::Reject(const char* aReason, SendOutcome aOutcome)
+{
+  this->state.metrics.Count("plantainhaven_relay_rejections_total", "reason", aReason);
+  Log(LogLevel::kInfo,
+      "relay_rejected",
+      { { "request", this->requestId }, { "server", this->server }, { "reason", aReason } });
+  co_return co_await this->RespondOutcome(aOutcome);
+}
+
 Task<bool>
 RelayRun::Attempt(const BackendServer& aServer)
 {
@@ -128,6 +138,12 @@
   const auto timeout = this->TimeLeft() + kResponseTransitTime;
   const std::function<bool()> mayRepeat = [] { return false; };
   co_await attempt.Send(std::move(head), this->body, timeout, mayRepeat);
+  if (exchange.Load()) {
+    this->state.dispatcher.OnLoad(aServer.id, *exchange.Load());
+  }
+  if (exchange.Limit()) {
+    this->state.dispatcher.OnLimit(aServer.id, exchange.Limit()->rate);
+  }
   if (this->HasPeerDisconnected() && !exchange.IsAnswered()) {
     end(SendOutcome::kAbandoned);
     co_return false;
--- a/src/edge/relay_run.h
+++ b/src/edge/relay_run.h
@@ -35,6 +35,8 @@
 private:
   // The reason to reject the request without an attempt; null when there is none.
   const char* RejectionReason() const;
+  // Responds that nothing was sent.
+  Task<bool> Reject(const char* aReason, SendOutcome aOutcome);
   Task<bool> Attempt(const BackendServer& aServer);
   // Responds with the outcome alone, without a response of the server.
   Task<bool> RespondOutcome(SendOutcome aOutcome);
