--- a/test/edge/server_path_test.cc
+++ b/test/edge/server_path_test.cc
@@ -26,7 +26,7 @@
 
 constexpr milliseconds kWork{ 20 };
 // Time in which a VM must find out that its path is cut and turn to another VM.
-constexpr seconds kReactionTime{ 2 };
+constexpr milliseconds kReactionTime{ 1500 };
 
 FakeAnswer
 ServedAfterWork(const FakeRequest& aRequest)
@@ -96,6 +96,17 @@
     }
   }
 
+  // Lets one VM know that a server drains.
+  void SetDraining(int aVm, std::size_t aServer)
+  {
+    Vm& vm = *this->vms[static_cast<std::size_t>(aVm)];
+    std::vector<BackendServer> entries = vm.entries;
+    entries[aServer].isDraining = true;
+    asio::post(vm.context, [traffic = vm.traffic.get(), entries] {
+      traffic->SetServers(entries, BootClock::Now());
+    });
+  }
+
   // Sends requests to one VM from several callers at once until the time has passed.
   Statuses SendFor(int aVm, milliseconds aTime, int aCallers, const std::string& aPath = "/read/x")
   {
@@ -178,6 +189,7 @@
     Context context;
     std::uint16_t callersPort = 0;
     std::vector<std::unique_ptr<CuttablePath>> paths;
+    std::vector<BackendServer> entries;
     std::unique_ptr<Traffic> traffic;
     std::thread thread;
     VmReport report;
@@ -199,7 +211,7 @@
     vm->traffic->Start();
     vm->traffic->SetRouting(MakeTestRouting());
     vm->traffic->SetQuotaRange({ 0, kQuotaRingSize });
-    std::vector<BackendServer> entries;
+    std::vector<BackendServer>& entries = vm->entries;
     for (int i = 0; i < kServers; ++i) {
       const FakeServer& fake = *this->servers[static_cast<std::size_t>(i)];
       vm->paths.push_back(std::make_unique<CuttablePath>(fake.Port()));
@@ -390,6 +402,17 @@
   }
 }
 
+// A relay that rejected a request for a leaving server wasn't used for any server for a while.
+TEST_CASE("A server that only the relaying VM knows as draining costs no other request")
+{
+  FleetWithPaths fleet(2);
+  fleet.Cut(0, CutForm::kReset);
+  fleet.SendFor(0, kReactionTime, 4);
+  fleet.SetDraining(1, 0);
+  const Statuses statuses = fleet.SendFor(0, seconds(2), 4);
+  CHECK(ServedFraction(statuses) >= 0.98);
+}
+
 // With TCP_USER_TIMEOUT set, TCP ends a connection after that time without an answer to its
 // keep-alive probes, whatever their number.
 TEST_CASE("No connection has both a user timeout and keep-alive probes")
