--- a/src/edge/relay_run.cc
+++ b/src/edge/relay_run.cc
@@ -119,7 +119,7 @@
       aServer, aOutcome, ToMilliseconds(BootClock::Now() - startedAt));
   };
   ServerAttempt attempt(this->state, aServer, ServerWay{});
-  Exchange& exchange = attempt.Wire();
+  Exchange& exchange = attempt.HttpExchange();
   this->watch.OnDisconnect([&exchange] { exchange.Cancel(); });
   // The other VM's request may not be idempotent, so the stricter limit applies to all.
   const bool isConnected = co_await attempt.Connect(kMaxIdleNonIdempotent, this->TimeLeft());
--- a/src/edge/request_run.cc
+++ b/src/edge/request_run.cc
@@ -226,7 +226,7 @@
     co_return Next::kDone;
   }
   ServerAttempt attempt(this->state, aServer, std::move(way));
-  Exchange& exchange = attempt.Wire();
+  Exchange& exchange = attempt.HttpExchange();
   this->watch.OnDisconnect([&exchange] { exchange.Cancel(); });
   const bool isConnected = co_await attempt.Connect(this->MaxIdle(aServer), left);
   this->watch.CheckNow();
@@ -252,7 +252,7 @@
 Task<RequestRun::Next>
 RequestRun::Send(const BackendServer& aServer, ServerAttempt& aAttempt, ReservedSlot& aSlot)
 {
-  Exchange& exchange = aAttempt.Wire();
+  Exchange& exchange = aAttempt.HttpExchange();
   const auto left = std::max(this->TimeLeft(), std::chrono::milliseconds(1));
   ServerRequestHead head = ForwardedHead(this->request, aServer, this->account, left);
   const std::function<bool()> mayRepeat = [this, &aSlot] {
@@ -311,7 +311,7 @@
 Task<RequestRun::Next>
 RequestRun::AfterServed(const BackendServer& aServer, ServerAttempt& aAttempt, ReservedSlot& aSlot)
 {
-  Exchange& exchange = aAttempt.Wire();
+  Exchange& exchange = aAttempt.HttpExchange();
   if (exchange.IsWhole()) {
     aSlot.End(SendOutcome::kServed);
     this->LogServed(aServer, aAttempt, aSlot.StartedAt());
@@ -439,7 +439,7 @@
 RequestRun::LogServed(const BackendServer& aServer, ServerAttempt& aAttempt, BootTime aSentAt) const
 {
   const BootTime now = BootClock::Now();
-  const ServerLoad load = aAttempt.Wire().Load().value_or(ServerLoad());
+  const ServerLoad load = aAttempt.HttpExchange().Load().value_or(ServerLoad());
   Log(LogLevel::kInfo,
       "served",
       { { "request", this->requestId },
@@ -463,7 +463,7 @@
 void
 RequestRun::LogFailure(const BackendServer& aServer, ServerAttempt& aAttempt) const
 {
-  const Exchange& exchange = aAttempt.Wire();
+  const Exchange& exchange = aAttempt.HttpExchange();
   Log(LogLevel::kInfo,
       "send_failed",
       { { "request", this->requestId },
--- a/src/edge/server_attempt.h
+++ b/src/edge/server_attempt.h
@@ -25,7 +25,8 @@
   // `aWay` must be kDirect or kRelayed.
   ServerAttempt(TrafficState& aState, const BackendServer& aServer, ServerWay aWay);
 
-  Exchange& Wire() { return this->exchange; }
+  // The attempt's HTTP exchange, for its response.
+  Exchange& HttpExchange() { return this->exchange; }
   bool IsRelayed() const { return this->way.kind == ServerWay::Kind::kRelayed; }
   // Reuses or opens a connection; see Exchange::Connect().
   Task<bool> Connect(std::chrono::milliseconds aMaxIdle, std::chrono::milliseconds aTimeLeft);
