--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -605,6 +605,38 @@
     this->store.Put("servers", this->options.id, entry.dump());
   }
 
+  // Queues the request until a slot is free. A request whose connection closes is dropped, and one
+  // that doesn't fit into the queue is rejected; returns false then.
+  bool AwaitSlot(Stream& aStream, const std::string& aId)
+  {
+    ++this->waiting;
+    bool isRejected = this->waiting > 3 * this->options.slots;
+    bool isGone = false;
+    while (!isRejected && !isGone) {
+      int running = this->running;
+      if (running < this->options.slots &&
+          this->running.compare_exchange_strong(running, running + 1)) {
+        --this->waiting;
+        return true;
+      }
+      pollfd peer{ aStream.fd, POLLRDHUP, 0 };
+      isGone = ::poll(&peer, 1, 2) > 0;
+    }
+    --this->waiting;
+    if (isRejected) {
+      aStream.Write(Answer(503,
+                           "",
+                           { { "X-Plantainhaven-Request-Id", aId },
+                             { "X-Plantainhaven-Not-Executed", "1" },
+                             { "Connection", "close" } }));
+    } else {
+      this->record.Line("server %s: drops %s from its queue, its connection was closed",
+                        this->options.id.c_str(),
+                        aId.c_str());
+    }
+    return false;
+  }
+
   void Serve(Stream& aStream)
   {
     Message request;
@@ -639,12 +671,16 @@
         aStream.Write(Answer(421, "", { { "X-Plantainhaven-Instance-Id", this->options.id } }));
         continue;
       }
+      if (!this->AwaitSlot(aStream, id)) {
+        return;
+      }
       {
         const std::lock_guard guard(this->mutex);
         this->runs.push_back(
           { id, this->options.id, request.Field("X-Plantainhaven-Tenant-Id"), NowMs() });
       }
-      const int running = ++this->running;
+      this->record.Line("server %s: begins to work on %s", this->options.id.c_str(), id.c_str());
+      const int running = this->running;
       SleepMs(this->options.workMs);
       --this->running;
       if (!aStream.Write(Answer(
@@ -670,6 +706,7 @@
   std::atomic<long> rejected{ 0 };
   std::atomic<long> truncated{ 0 };
   std::atomic<int> running{ 0 };
+  std::atomic<int> waiting{ 0 };
   std::atomic<bool> reports{ true };
   long sequence = 0;
   Listener listener;
