--- a/src/edge/store_follower.cc
+++ b/src/edge/store_follower.cc
@@ -273,6 +273,13 @@
     return;
   }
   if (aUpdate.after() > this->version || aUpdate.rows_omitted()) {
+    Log(LogLevel::kInfo,
+        "update_missed",
+        { { "table", this->options.table },
+          { "from", aFrom },
+          { "rows_omitted", aUpdate.rows_omitted() },
+          { "their_version", aUpdate.version() },
+          { "version", this->version } });
     this->coordinator.OnMissedUpdate();
     this->timer.cancel();
     return;
@@ -322,6 +329,7 @@
     Log(LogLevel::kWarning, "configuration_removed", { { "kept_version", this->version } });
     return;
   }
+  const BootTime startedAt = BootClock::Now();
   Result<Routing> decoded = platform::DecodeConfiguration(aRow.value);
   if (!IsOk(decoded)) {
     const Error& error = ErrorOf(decoded);
@@ -345,7 +353,9 @@
       { { "version", routing.version },
         { "row", aRow.version },
         { "routes", routing.RouteCount() },
-        { "accounts", routing.accounts.size() } });
+        { "accounts", routing.accounts.size() },
+        { "bytes", aRow.value.size() },
+        { "decode_ms", ToMilliseconds(BootClock::Now() - startedAt).count() } });
   this->listener.onRouting(std::make_shared<const Routing>(std::move(routing)));
 }
 
