--- a/include/plantainhaven/standin/store_standin.h
+++ b/include/plantainhaven/standin/store_standin.h
@@ -34,6 +34,10 @@
   // hold then; 0 disables the fault.
   int lateEvery = 0;
   std::chrono::milliseconds lateBy{ 0 };
+  // Rate at which the responses to each caller arrive, as over a narrow link; 0 for no limit.
+  std::size_t bytesPerSecond = 0;
+  // Responses stop after this many bytes, and the connection stays open; 0 disables the fault.
+  std::size_t stopsAfterBytes = 0;
 };
 
 // Test double of the platform's store over HTTP with the published calls rows-tx, rows-get
--- a/src/standin/store_standin.cc
+++ b/src/standin/store_standin.cc
@@ -9,6 +9,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <utility>
 
 namespace plantainhaven::standin {
@@ -24,11 +25,14 @@
 using edge::Tcp;
 using Json = nlohmann::json;
 using Request = http::request<http::string_body>;
+using Response = http::response<http::string_body>;
 
 constexpr std::uint64_t kMostBodyBytes = 4 << 20;
 constexpr std::chrono::milliseconds kLongestFeed{ 30000 };
 // Interval at which a rows-feed call checks for changes.
 constexpr std::chrono::milliseconds kFeedLook{ 10 };
+// Unit in which a response crosses a narrow link.
+constexpr std::size_t kPacketBytes = 4096;
 // Tables that callers may not write to.
 constexpr const char* kReservedTables[] = { "op", "servers" };
 
@@ -121,6 +125,9 @@
 
   Task<void> Accept();
   Task<void> Serve(Tcp::socket aSocket);
+  // Returns the error that ended the connection, if any.
+  Task<beast::error_code> SendAtLinkRate(beast::tcp_stream& aStream,
+                                         const Response& aResponse) const;
   Task<Reply> Answer(Request aRequest);
   Task<Reply> Write(Json aBody);
   Task<Reply> Feed(std::string aTarget);
@@ -289,7 +296,7 @@
     if (reply.isLost) {
       break;
     }
-    http::response<http::string_body> response;
+    Response response;
     response.result(reply.status);
     response.version(11);
     response.set(http::field::content_type, "application/json");
@@ -297,10 +304,36 @@
     response.keep_alive(request.keep_alive());
     response.body() = reply.body.dump();
     response.prepare_payload();
-    co_await http::async_write(stream, response, Into(fault));
+    fault = co_await this->SendAtLinkRate(stream, response);
   }
 }
 
+Task<beast::error_code>
+StoreStandin::Impl::SendAtLinkRate(beast::tcp_stream& aStream, const Response& aResponse) const
+{
+  beast::error_code fault;
+  if (this->faults.bytesPerSecond == 0 && this->faults.stopsAfterBytes == 0) {
+    co_await http::async_write(aStream, aResponse, Into(fault));
+    co_return fault;
+  }
+  std::ostringstream text;
+  text << aResponse;
+  const std::string bytes = text.str();
+  asio::steady_timer timer(this->context);
+  for (std::size_t at = 0; at < bytes.size() && !fault; at += kPacketBytes) {
+    if (this->faults.stopsAfterBytes > 0 && at >= this->faults.stopsAfterBytes) {
+      co_await Sleep(timer, kLongestFeed);
+      co_return beast::error_code(beast::error::timeout);
+    }
+    const std::size_t count = std::min(kPacketBytes, bytes.size() - at);
+    co_await asio::async_write(aStream, asio::buffer(bytes.data() + at, count), Into(fault));
+    if (this->faults.bytesPerSecond > 0) {
+      co_await Sleep(timer, std::chrono::milliseconds(count * 1000 / this->faults.bytesPerSecond));
+    }
+  }
+  co_return fault;
+}
+
 Task<void>
 StoreStandin::Impl::Accept()
 {
--- a/test/standin/store_contract_test.cc
+++ b/test/standin/store_contract_test.cc
@@ -386,5 +386,37 @@
   }
 }
 
+// Five times the timeout of a call, at the rate of the link.
+TEST_CASE("A read of a large row isn't given up while its answer arrives")
+{
+  OverHttp subject;
+  StoreFaults narrow;
+  narrow.bytesPerSecond = 1 << 20;
+  const std::string value(3 * narrow.bytesPerSecond / 4, 'r');
+  subject.Store().Put(kTable, "large", value);
+  subject.Store().SetFaults(narrow);
+  const auto read = subject.Read();
+  REQUIRE(IsOk(read));
+  CHECK(ValueOf(read).rows.front().value == value);
+  const auto changes = subject.Changes(0);
+  REQUIRE(IsOk(changes));
+  CHECK(ValueOf(changes).rows.front().value == value);
+  CHECK(subject.Calls() == 2);
+}
+
+TEST_CASE("A read whose answer stops midway ends after the timeout")
+{
+  OverHttp subject;
+  subject.Store().Put(kTable, "large", std::string(100000, 'r'));
+  StoreFaults stuck;
+  stuck.stopsAfterBytes = 50000;
+  subject.Store().SetFaults(stuck);
+  const auto read = subject.Read();
+  REQUIRE_FALSE(IsOk(read));
+  CHECK(ErrorOf(read).kind == ErrorKind::kUnknown);
+  subject.Store().SetFaults({});
+  CHECK(IsOk(subject.Read()));
+}
+
 } // namespace
 } // namespace plantainhaven::standin
