--- a/src/edge/store_follower.cc
+++ b/src/edge/store_follower.cc
@@ -6,6 +6,10 @@
 #include <utility>
 
 namespace plantainhaven::edge {
+
+using placing::TableUpdate;
+using placing::UpdateEffect;
+
 namespace {
 
 // Changes up to this size are sent to the other VMs in the region. Larger ones are read from
@@ -23,25 +27,17 @@
   return std::uniform_real_distribution<double>(0, 1)(aRandom);
 }
 
-std::size_t
-TotalBytes(const std::vector<platform::StoreRow>& aRows)
-{
-  std::size_t bytes = 0;
-  for (const platform::StoreRow& row : aRows) {
-    bytes += row.key.size() + row.value.size();
-  }
-  return bytes;
-}
-
-std::vector<platform::StoreRow>
-RowsOf(const TableNews& aUpdate)
+TableUpdate
+ToUpdate(const TableNews& aNews)
 {
-  std::vector<platform::StoreRow> rows;
-  rows.reserve(static_cast<std::size_t>(aUpdate.rows_size()));
-  for (const NewsRow& row : aUpdate.rows()) {
-    rows.push_back({ row.key(), row.value(), row.version(), row.removed() });
-  }
-  return rows;
+  TableUpdate update{ .era = aNews.era(),
+                      .after = aNews.after(),
+                      .version = aNews.version(),
+                      .areRowsOmitted = aNews.rows_omitted() };
+  for (const NewsRow& row : aNews.rows()) {
+    update.rows.push_back({ row.key(), row.value(), row.version(), row.removed() });
+  }
+  return update;
 }
 
 } // namespace
@@ -68,7 +64,7 @@
     co_await this->AwaitPollTurn();
     const BootTime startedAt = BootClock::Now();
     bool isDone = false;
-    if (this->hasFullCopy) {
+    if (this->replica.IsWhole()) {
       isDone = co_await this->ReadChanges();
     } else {
       isDone = co_await this->ReadAll();
@@ -98,7 +94,7 @@
 {
   Log(LogLevel::kInfo,
       "store_regained",
-      { { "table", this->options.table }, { "version", this->version } });
+      { { "table", this->options.table }, { "version", this->replica.Version() } });
   this->isStoreUnreachable = false;
   this->hasStoreReturned = true;
   this->reader.onStoreReachable(aSince);
@@ -107,17 +103,16 @@
 void
 TableFollower::EnterEra(std::uint64_t aEra)
 {
-  const bool isFirst = this->era == 0;
-  this->era = aEra;
+  const bool isFirst = this->replica.Era() == 0;
+  const std::uint64_t lastVersion = this->replica.Version();
+  this->replica.EnterEra(aEra);
   this->link.onEra(aEra);
   if (isFirst) {
     return;
   }
   Log(LogLevel::kWarning,
       "store_era",
-      { { "table", this->options.table }, { "era", aEra }, { "version", this->version } });
-  this->version = 0;
-  this->hasFullCopy = false;
+      { { "table", this->options.table }, { "era", aEra }, { "version", lastVersion } });
   this->hasStoreReturned = true;
   this->reader.onStoreRolledBack(BootClock::Now());
 }
@@ -134,7 +129,7 @@
           "store_lost",
           { { "table", this->options.table },
             { "error", aError->message },
-            { "version", this->version } });
+            { "version", this->replica.Version() } });
     }
     this->isStoreUnreachable = true;
     return;
@@ -169,23 +164,17 @@
     co_return false;
   }
   const platform::TableSnapshot& read = ValueOf(result);
-  if (read.era < this->era) {
-    co_return false;
-  }
-  if (read.era > this->era) {
+  if (read.era > this->replica.Era()) {
     this->EnterEra(read.era);
   }
-  this->reader.onReset();
-  this->Apply(read.rows, read.version);
-  this->hasFullCopy = true;
-  this->Broadcast({}, this->version);
-  co_return true;
+  this->OnAnswer({ .era = read.era, .version = read.version, .rows = read.rows, .isWhole = true });
+  co_return this->replica.IsWhole();
 }
 
 Task<bool>
 TableFollower::ReadChanges()
 {
-  const std::uint64_t after = this->version;
+  const std::uint64_t after = this->replica.Version();
   const Result<platform::TableChanges> result = co_await this->client.ReadChanges(
     this->options.table, after, this->coordinator.LongPollWait(BootClock::Now()));
   this->OnResult(std::get_if<Error>(&result));
@@ -193,99 +182,106 @@
     co_return false;
   }
   const platform::TableChanges& changes = ValueOf(result);
-  if (changes.era > this->era) {
+  if (changes.era > this->replica.Era()) {
     this->EnterEra(changes.era);
     co_return true;
   }
   // An update from another VM may have brought a newer era during the call.
-  if (changes.era < this->era || !this->hasFullCopy) {
+  if (changes.era < this->replica.Era() || !this->replica.IsWhole()) {
     co_return true;
   }
   if (changes.isHistoryDiscarded) {
     Log(LogLevel::kInfo, "history_gone", { { "table", this->options.table } });
-    this->hasFullCopy = false;
+    this->replica.Discard();
     co_return true;
   }
-  // An update from another VM may have brought a later version than this response.
-  if (changes.version >= this->version) {
-    this->Apply(changes.rows, changes.version);
-  }
-  this->Broadcast(changes.rows, after);
+  this->OnAnswer(
+    { .era = changes.era, .after = after, .version = changes.version, .rows = changes.rows });
   co_return true;
 }
 
 void
-TableFollower::Apply(const std::vector<platform::StoreRow>& aRows, std::uint64_t aVersion)
+TableFollower::OnAnswer(const TableUpdate& aAnswer)
+{
+  const UpdateEffect effect = this->replica.Apply(aAnswer);
+  if (effect == UpdateEffect::kApplied) {
+    this->Publish(aAnswer);
+  }
+  if (this->replica.IsWhole()) {
+    this->Broadcast(this->replica.MakeUpdate(aAnswer, kMaxUpdateBytes));
+  }
+}
+
+void
+TableFollower::Publish(const TableUpdate& aUpdate)
 {
-  for (const platform::StoreRow& row : aRows) {
+  if (aUpdate.isWhole) {
+    this->reader.onReset();
+  }
+  for (const platform::StoreRow& row : aUpdate.rows) {
     this->reader.onRow(row);
   }
-  this->version = aVersion;
 }
 
 void
-TableFollower::Broadcast(const std::vector<platform::StoreRow>& aRows, std::uint64_t aAfter) const
+TableFollower::Broadcast(const TableUpdate& aUpdate) const
 {
   const auto contact = this->ContactTime();
-  TableNews update;
-  update.set_table(this->options.table);
-  update.set_after(aAfter);
-  update.set_version(this->version);
-  update.set_era(this->era);
-  update.set_store_contact_ms(static_cast<std::uint64_t>(contact.count()));
-  update.set_store_was_away(this->hasStoreReturned && contact < kReturnAnnouncementTime);
-  update.set_rows_omitted(TotalBytes(aRows) > kMaxUpdateBytes);
-  for (const platform::StoreRow& row : aRows) {
-    if (update.rows_omitted()) {
-      break;
-    }
-    NewsRow* const updateRow = update.add_rows();
-    updateRow->set_key(row.key);
-    updateRow->set_value(row.value);
-    updateRow->set_version(row.version);
-    updateRow->set_removed(row.isRemoved);
-  }
-  this->link.send(update);
+  TableNews news;
+  news.set_table(this->options.table);
+  news.set_after(aUpdate.after);
+  news.set_version(aUpdate.version);
+  news.set_era(aUpdate.era);
+  news.set_store_contact_ms(static_cast<std::uint64_t>(contact.count()));
+  news.set_store_was_away(this->hasStoreReturned && contact < kReturnAnnouncementTime);
+  news.set_rows_omitted(aUpdate.areRowsOmitted);
+  for (const platform::StoreRow& row : aUpdate.rows) {
+    NewsRow* const newsRow = news.add_rows();
+    newsRow->set_key(row.key);
+    newsRow->set_value(row.value);
+    newsRow->set_version(row.version);
+    newsRow->set_removed(row.isRemoved);
+  }
+  this->link.send(news);
 }
 
 void
-TableFollower::OnTableUpdate(const std::string& aFrom, const TableNews& aUpdate)
+TableFollower::OnTableUpdate(const std::string& aFrom, const TableNews& aNews)
 {
-  if (aUpdate.era() > this->era) {
-    this->EnterEra(aUpdate.era());
+  const TableUpdate update = ToUpdate(aNews);
+  const UpdateEffect effect = this->replica.Apply(update);
+  if (effect == UpdateEffect::kNewEra) {
+    this->EnterEra(update.era);
     this->coordinator.OnMissedUpdate();
     this->timer.cancel();
     return;
   }
-  if (!this->hasFullCopy || aUpdate.era() < this->era || aUpdate.version() < this->version) {
+  if (effect == UpdateEffect::kOlder) {
     return;
   }
   const BootTime now = BootClock::Now();
-  const BootTime contact = now - std::chrono::milliseconds(aUpdate.store_contact_ms());
+  const BootTime contact = now - std::chrono::milliseconds(aNews.store_contact_ms());
   this->coordinator.OnPeerResponse(aFrom, RandomFraction(this->random), now);
   this->answeredAt = now;
-  const bool isReturn = aUpdate.store_was_away() && contact > this->contactSince;
+  const bool isReturn = aNews.store_was_away() && contact > this->contactSince;
   this->contactSince = std::max(this->contactSince, contact);
   if (this->isStoreUnreachable || isReturn) {
     this->OnStoreReachable(contact);
   }
-  if (aUpdate.version() == this->version) {
-    return;
-  }
-  if (aUpdate.after() > this->version || aUpdate.rows_omitted()) {
+  if (effect == UpdateEffect::kMissed) {
     Log(LogLevel::kInfo,
         "update_missed",
         { { "table", this->options.table },
           { "from", aFrom },
-          { "rows_omitted", aUpdate.rows_omitted() },
-          { "their_version", aUpdate.version() },
-          { "version", this->version } });
+          { "rows_omitted", update.areRowsOmitted },
+          { "their_version", update.version },
+          { "version", this->replica.Version() } });
     this->coordinator.OnMissedUpdate();
     this->timer.cancel();
-    return;
+  } else if (effect == UpdateEffect::kApplied) {
+    this->Publish(update);
+    this->reader.onResponse();
   }
-  this->Apply(RowsOf(aUpdate), aUpdate.version());
-  this->reader.onResponse();
 }
 
 OperatorRows::OperatorRows(const StoreListener& aListener)
--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -4,6 +4,7 @@
 #include "edge/net.h"
 #include "plantainhaven/common/metrics.h"
 #include "plantainhaven/policy/placing/routing.h"
+#include "plantainhaven/policy/placing/table_replica.h"
 #include "platform/decode.h"
 #include "platform/store_client.h"
 
@@ -89,8 +90,10 @@
   void OnStoreReachable(BootTime aSince);
   // Switches to a newer era: the whole table must be read again.
   void EnterEra(std::uint64_t aEra);
-  void Apply(const std::vector<platform::StoreRow>& aRows, std::uint64_t aVersion);
-  void Broadcast(const std::vector<platform::StoreRow>& aRows, std::uint64_t aAfter) const;
+  // Applies what the store has answered, and passes it on.
+  void OnAnswer(const placing::TableUpdate& aAnswer);
+  void Broadcast(const placing::TableUpdate& aUpdate) const;
+  void Publish(const placing::TableUpdate& aUpdate);
 
   asio::steady_timer timer;
   platform::StoreClient& client;
@@ -99,11 +102,8 @@
   TableUpdateLink link;
   std::mt19937_64 random;
   PollCoordinator coordinator;
-  bool hasFullCopy = false;
+  placing::TableReplica replica;
   bool isStoreUnreachable = false;
-  // Comparable within `era` only.
-  std::uint64_t version = 0;
-  std::uint64_t era = 0;
   BootTime contactSince{};
   // True if the current contact began when the store became reachable again.
   bool hasStoreReturned = false;
