--- a/src/policy/placing/routing.cc
+++ b/src/policy/placing/routing.cc
@@ -18,9 +18,10 @@
 Routing::AddRoute(const std::string& aHost, Route aRoute)
 {
   std::vector<Route>& routes = this->routesByHost[aHost];
-  const auto position = std::find_if(routes.begin(), routes.end(), [&aRoute](const Route& aOther) {
-    return aOther.prefix.size() < aRoute.prefix.size();
-  });
+  const auto position = std::upper_bound(
+    routes.begin(), routes.end(), aRoute, [](const Route& aLeft, const Route& aRight) {
+      return aLeft.prefix.size() > aRight.prefix.size();
+    });
   routes.insert(position, std::move(aRoute));
 }
 
