--- a/include/plantainhaven/policy/placing/poll_coordinator.h
+++ b/include/plantainhaven/policy/placing/poll_coordinator.h
@@ -43,6 +43,9 @@
   // failure allows.
   void OnMissedUpdate();
 
+  // Another VM has given this one what it missed. `aJitter` as above.
+  void OnCopy(double aJitter, BootTime aNow);
+
   // How long the next long poll waits for a change. 0 unless this VM is the regular poller, so
   // that a missed update is fetched, and forwarded to the others, before they start to poll.
   std::chrono::milliseconds LongPollWait(BootTime aNow) const;
--- a/src/edge/edge_program.cc
+++ b/src/edge/edge_program.cc
@@ -31,6 +31,7 @@
 constexpr std::chrono::milliseconds kPublishInterval{ 100 };
 // The settings file is polled because it may change without a signal.
 constexpr std::chrono::milliseconds kSettingsInterval{ 5000 };
+constexpr double kBytesPerMegabit = 1e6 / 8;
 
 std::chrono::milliseconds
 ToMs(const google::protobuf::Duration& aTime)
@@ -62,8 +63,8 @@
   FleetListener MakeFleetListener();
   std::unique_ptr<platform::StoreClient> MakeClient();
   TableUpdateLink MakeTableUpdateLink();
-  void OnTableUpdate(const std::string& aFrom, const TableNews& aUpdate);
-  Task<void> PublishServers();
+  void OnTableMessage(const Envelope& aMessage);
+  Task<void> RunPeriodically();
   Task<void> WatchSettings();
   void ReloadSettings();
   SimpleResponse RespondToOperator(const SimpleRequest& aRequest) const;
@@ -109,7 +110,8 @@
                      { .table = platform::kOperatorTable,
                        .wait = ToMs(aSettings.store().configuration_wait()),
                        .interval = std::chrono::milliseconds(0),
-                       .self = aSettings.vm().name() },
+                       .self = aSettings.vm().name(),
+                       .linkBytesPerSecond = aSettings.link().megabits() * kBytesPerMegabit },
                      this->operatorRows.MakeReader(),
                      this->MakeTableUpdateLink())
   , serverFollower(this->controlContext,
@@ -164,17 +166,22 @@
                *message.mutable_table_news() = aUpdate;
                this->fleet.SendToRegion(message);
              },
+           .sendTo = [this](const std::string& aVm,
+                            Envelope aMessage) { this->fleet.SendToVm(aVm, std::move(aMessage)); },
            .readerCount = [this] { return this->fleet.RegionVmCount(); },
            .onEra = [this](std::uint64_t aEra) { this->fleet.OnEra(aEra); } };
 }
 
 void
-Edge::OnTableUpdate(const std::string& aFrom, const TableNews& aUpdate)
+Edge::OnTableMessage(const Envelope& aMessage)
 {
-  if (aUpdate.table() == platform::kOperatorTable) {
-    this->operatorFollower.OnTableUpdate(aFrom, aUpdate);
-  } else if (aUpdate.table() == platform::kServerTable) {
-    this->serverFollower.OnTableUpdate(aFrom, aUpdate);
+  const std::string& table = aMessage.has_table_news()       ? aMessage.table_news().table()
+                             : aMessage.has_table_copy_ask() ? aMessage.table_copy_ask().table()
+                                                             : aMessage.table_copy().table();
+  if (table == platform::kOperatorTable) {
+    this->operatorFollower.OnMessage(aMessage);
+  } else if (table == platform::kServerTable) {
+    this->serverFollower.OnMessage(aMessage);
   }
 }
 
@@ -218,10 +225,7 @@
                this->OnTraffic(
                  [this, report = std::move(aReport)] { this->traffic.OnPeerReport(report); });
              },
-           .onTableUpdate =
-             [this](const std::string& aFrom, const TableNews& aUpdate) {
-               this->OnTableUpdate(aFrom, aUpdate);
-             },
+           .onTableMessage = [this](const Envelope& aMessage) { this->OnTableMessage(aMessage); },
            .onTokenMessage =
              [this](Envelope aMessage) {
                this->OnTraffic([this, message = std::move(aMessage)] {
@@ -235,12 +239,13 @@
 }
 
 Task<void>
-Edge::PublishServers()
+Edge::RunPeriodically()
 {
   asio::steady_timer timer(this->controlContext);
   while (true) {
     co_await Sleep(timer, kPublishInterval);
     this->serverRows.PublishChanges();
+    this->operatorFollower.RetryCopy();
   }
 }
 
@@ -337,7 +342,7 @@
   });
   asio::co_spawn(this->controlContext, this->operatorFollower.Run(), asio::detached);
   asio::co_spawn(this->controlContext, this->serverFollower.Run(), asio::detached);
-  asio::co_spawn(this->controlContext, this->PublishServers(), asio::detached);
+  asio::co_spawn(this->controlContext, this->RunPeriodically(), asio::detached);
   asio::co_spawn(this->controlContext, this->WatchSettings(), asio::detached);
   std::thread trafficThread([this] { this->RunContext(this->trafficContext, "traffic"); });
   this->RunContext(this->controlContext, "control");
--- a/src/edge/fleet.cc
+++ b/src/edge/fleet.cc
@@ -210,6 +210,15 @@
   }
 }
 
+void
+Fleet::SendToVm(const std::string& aVm, Envelope aMessage)
+{
+  const auto found = this->members.find(aVm);
+  if (found != this->members.end()) {
+    this->Send(found->second.record.endpoint(), std::move(aMessage));
+  }
+}
+
 std::size_t
 Fleet::RegionVmCount() const
 {
@@ -263,8 +272,9 @@
     this->OnReport(aMessage);
   } else if (aMessage.has_token_ask() || aMessage.has_token_grant()) {
     this->listener.onTokenMessage(aMessage);
-  } else if (aMessage.has_table_news()) {
-    this->listener.onTableUpdate(aMessage.from(), aMessage.table_news());
+  } else if (aMessage.has_table_news() || aMessage.has_table_copy_ask() ||
+             aMessage.has_table_copy()) {
+    this->listener.onTableMessage(aMessage);
   }
 }
 
--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -33,8 +33,8 @@
   std::function<void(QuotaRange)> onQuotaRange;
   // A report that tells loads or rate limits of backend servers, for the traffic thread.
   std::function<void(VmReport)> onServerNews;
-  // Rows of the store that a VM in this region has read.
-  std::function<void(const std::string& aFrom, const TableNews&)> onTableUpdate;
+  // Rows of the store that a VM in this region has read, and copies of tables.
+  std::function<void(const Envelope&)> onTableMessage;
   // Requests for tokens and grants, for the traffic thread.
   std::function<void(Envelope)> onTokenMessage;
 };
@@ -56,6 +56,8 @@
   // Sends a message on behalf of the traffic thread; false when it can't be queued on the
   // connection.
   bool Send(const std::string& aEndpoint, Envelope aMessage);
+  // Sends a message to a VM that was heard or that the store lists, by its name.
+  void SendToVm(const std::string& aVm, Envelope aMessage);
   // Sends a message to the VMs in this region that are alive.
   void SendToRegion(const Envelope& aMessage);
   // Number of VMs in this region that are alive, this one included.
--- a/src/edge/store_follower.cc
+++ b/src/edge/store_follower.cc
@@ -1,5 +1,6 @@
 #include "edge/store_follower.h"
 
+#include "edge/table_copy.h"
 #include "plantainhaven/common/log.h"
 #include "platform/names.h"
 
@@ -27,17 +28,12 @@
   return std::uniform_real_distribution<double>(0, 1)(aRandom);
 }
 
-TableUpdate
-ToUpdate(const TableNews& aNews)
+// How long the VM's link carries nothing else while this many bytes arrive.
+std::chrono::milliseconds
+LinkTime(std::uint64_t aBytes, double aBytesPerSecond)
 {
-  TableUpdate update{ .era = aNews.era(),
-                      .after = aNews.after(),
-                      .version = aNews.version(),
-                      .areRowsOmitted = aNews.rows_omitted() };
-  for (const NewsRow& row : aNews.rows()) {
-    update.rows.push_back({ row.key(), row.value(), row.version(), row.removed() });
-  }
-  return update;
+  const std::chrono::duration<double> time(static_cast<double>(aBytes) / aBytesPerSecond);
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time);
 }
 
 } // namespace
@@ -54,7 +50,16 @@
   , link(std::move(aLink))
   , random(std::random_device{}())
   , coordinator(this->options.self, { .wait = this->options.wait }, RandomFraction(this->random))
+  , catchUp({})
+  , allowance(this->options.linkBytesPerSecond)
 {
+  if (this->ExchangesCopies()) {
+    this->client.OnLargeAnswer([this](std::uint64_t aBytes) {
+      if (this->replica.IsWhole()) {
+        this->Broadcast(this->replica.MakeUpdate({}, 0), aBytes);
+      }
+    });
+  }
 }
 
 Task<void>
@@ -81,7 +86,8 @@
 TableFollower::AwaitPollTurn()
 {
   while (true) {
-    const auto left = this->coordinator.NextPollAt() - BootClock::Now();
+    const BootTime pollAt = std::max(this->coordinator.NextPollAt(), this->catchUp.MayReadAt());
+    const auto left = pollAt - BootClock::Now();
     if (left <= BootClock::duration(0)) {
       co_return;
     }
@@ -177,6 +183,9 @@
   const std::uint64_t after = this->replica.Version();
   const Result<platform::TableChanges> result = co_await this->client.ReadChanges(
     this->options.table, after, this->coordinator.LongPollWait(BootClock::Now()));
+  if (std::exchange(this->isReadSuperseded, false)) {
+    co_return true;
+  }
   this->OnResult(std::get_if<Error>(&result));
   if (!IsOk(result)) {
     co_return false;
@@ -204,12 +213,13 @@
 TableFollower::OnAnswer(const TableUpdate& aAnswer)
 {
   const UpdateEffect effect = this->replica.Apply(aAnswer);
-  if (effect == UpdateEffect::kApplied) {
-    this->Publish(aAnswer);
-  }
+  this->catchUp.OnCaughtUp();
   if (this->replica.IsWhole()) {
     this->Broadcast(this->replica.MakeUpdate(aAnswer, kMaxUpdateBytes));
   }
+  if (effect == UpdateEffect::kApplied) {
+    this->Publish(aAnswer);
+  }
 }
 
 void
@@ -224,7 +234,7 @@
 }
 
 void
-TableFollower::Broadcast(const TableUpdate& aUpdate) const
+TableFollower::Broadcast(const TableUpdate& aUpdate, std::uint64_t aAnswerBytes) const
 {
   const auto contact = this->ContactTime();
   TableNews news;
@@ -235,16 +245,26 @@
   news.set_store_contact_ms(static_cast<std::uint64_t>(contact.count()));
   news.set_store_was_away(this->hasStoreReturned && contact < kReturnAnnouncementTime);
   news.set_rows_omitted(aUpdate.areRowsOmitted);
+  news.set_gives_copies(aUpdate.areRowsOmitted && this->ExchangesCopies());
+  news.set_answer_bytes(aAnswerBytes);
   for (const platform::StoreRow& row : aUpdate.rows) {
-    NewsRow* const newsRow = news.add_rows();
-    newsRow->set_key(row.key);
-    newsRow->set_value(row.value);
-    newsRow->set_version(row.version);
-    newsRow->set_removed(row.isRemoved);
+    FillRow(row, *news.add_rows());
   }
   this->link.send(news);
 }
 
+void
+TableFollower::OnMessage(const Envelope& aMessage)
+{
+  if (aMessage.has_table_news()) {
+    this->OnTableUpdate(aMessage.from(), aMessage.table_news());
+  } else if (aMessage.has_table_copy_ask()) {
+    this->OnCopyAsk(aMessage.from(), aMessage.table_copy_ask());
+  } else if (aMessage.has_table_copy()) {
+    this->OnCopy(aMessage.from(), aMessage.table_copy());
+  }
+}
+
 void
 TableFollower::OnTableUpdate(const std::string& aFrom, const TableNews& aNews)
 {
@@ -259,6 +279,10 @@
   if (effect == UpdateEffect::kOlder) {
     return;
   }
+  if (aNews.answer_bytes() > 0 && this->ExchangesCopies()) {
+    this->OnAnswerBegun(aNews.answer_bytes());
+    return;
+  }
   const BootTime now = BootClock::Now();
   const BootTime contact = now - std::chrono::milliseconds(aNews.store_contact_ms());
   this->coordinator.OnPeerResponse(aFrom, RandomFraction(this->random), now);
@@ -269,21 +293,111 @@
     this->OnStoreReachable(contact);
   }
   if (effect == UpdateEffect::kMissed) {
-    Log(LogLevel::kInfo,
-        "update_missed",
-        { { "table", this->options.table },
-          { "from", aFrom },
-          { "rows_omitted", update.areRowsOmitted },
-          { "their_version", update.version },
-          { "version", this->replica.Version() } });
-    this->coordinator.OnMissedUpdate();
-    this->timer.cancel();
-  } else if (effect == UpdateEffect::kApplied) {
+    this->OnMissed(aFrom, aNews);
+    return;
+  }
+  if (effect == UpdateEffect::kApplied) {
+    this->catchUp.OnCaughtUp();
     this->Publish(update);
     this->reader.onResponse();
   }
 }
 
+void
+TableFollower::OnMissed(const std::string& aFrom, const TableNews& aNews)
+{
+  Log(LogLevel::kInfo,
+      "update_missed",
+      { { "table", this->options.table },
+        { "from", aFrom },
+        { "rows_omitted", aNews.rows_omitted() },
+        { "their_version", aNews.version() },
+        { "version", this->replica.Version() } });
+  if (aNews.gives_copies() && this->ExchangesCopies()) {
+    this->catchUp.OnHolder(aFrom, BootClock::Now());
+    this->RetryCopy();
+  }
+  this->coordinator.OnMissedUpdate();
+  this->timer.cancel();
+}
+
+void
+TableFollower::OnAnswerBegun(std::uint64_t aBytes)
+{
+  this->catchUp.OnAnswerBegun(LinkTime(aBytes, this->options.linkBytesPerSecond), BootClock::Now());
+  this->coordinator.OnMissedUpdate();
+  this->timer.cancel();
+}
+
+void
+TableFollower::RetryCopy()
+{
+  const auto holder = this->catchUp.NextAsk(BootClock::Now());
+  if (!holder) {
+    return;
+  }
+  Envelope message;
+  TableCopyAsk& ask = *message.mutable_table_copy_ask();
+  ask.set_table(this->options.table);
+  ask.set_era(this->replica.Era());
+  ask.set_version(this->replica.Version());
+  this->link.sendTo(*holder, std::move(message));
+}
+
+void
+TableFollower::OnCopyAsk(const std::string& aFrom, const TableCopyAsk& aAsk)
+{
+  Envelope message;
+  TableCopy& copy = *message.mutable_table_copy();
+  copy.set_table(this->options.table);
+  copy.set_refused(true);
+  const bool isNewer = this->replica.IsWhole() && aAsk.era() == this->replica.Era() &&
+                       aAsk.version() < this->replica.Version();
+  if (isNewer && (!this->packed || this->packed->version() != this->replica.Version())) {
+    this->packed = PackTable(this->options.table, this->replica.MakeWhole());
+  }
+  if (isNewer && this->allowance.TryTake(this->packed->packed_rows().size(), BootClock::Now())) {
+    copy = *this->packed;
+  }
+  this->link.sendTo(aFrom, std::move(message));
+}
+
+void
+TableFollower::OnCopy(const std::string& aFrom, const TableCopy& aCopy)
+{
+  if (aCopy.refused()) {
+    this->catchUp.OnRefused(aFrom);
+    this->RetryCopy();
+    return;
+  }
+  const auto update = UnpackTable(aCopy);
+  if (!update) {
+    Log(LogLevel::kWarning,
+        "table_copy_unreadable",
+        { { "table", this->options.table }, { "from", aFrom } });
+    return;
+  }
+  if (this->replica.Apply(*update) != UpdateEffect::kApplied) {
+    return;
+  }
+  Log(LogLevel::kInfo,
+      "table_copied",
+      { { "table", this->options.table },
+        { "from", aFrom },
+        { "version", update->version },
+        { "bytes", aCopy.packed_rows().size() } });
+  this->packed = aCopy;
+  this->catchUp.OnCaughtUp();
+  this->coordinator.OnCopy(RandomFraction(this->random), BootClock::Now());
+  this->isReadSuperseded = this->client.CancelLargeAnswer();
+  this->Broadcast({ .era = update->era,
+                    .after = update->version,
+                    .version = update->version,
+                    .areRowsOmitted = true });
+  this->Publish(*update);
+  this->reader.onResponse();
+}
+
 OperatorRows::OperatorRows(const StoreListener& aListener)
   : listener(aListener)
 {
--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -4,12 +4,14 @@
 #include "edge/net.h"
 #include "plantainhaven/common/metrics.h"
 #include "plantainhaven/policy/placing/routing.h"
+#include "plantainhaven/policy/placing/table_catch_up.h"
 #include "plantainhaven/policy/placing/table_replica.h"
 #include "platform/decode.h"
 #include "platform/store_client.h"
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -34,6 +36,8 @@
 {
   // Sends an update to all of them.
   std::function<void(const TableNews&)> send;
+  // Sends a message to one of them, by its name.
+  std::function<void(const std::string&, Envelope)> sendTo;
   // Number of VMs that share their reads, this one included.
   std::function<std::size_t()> readerCount;
   // Called within this VM when the era of the store changes.
@@ -55,6 +59,9 @@
     std::chrono::milliseconds interval{ 0 };
     // Name of this VM.
     std::string self;
+    // Width of this VM's link in bytes per second; 0 if it neither asks for copies of the table nor
+    // gives them.
+    double linkBytesPerSecond = 0;
   };
   struct Reader
   {
@@ -79,10 +86,21 @@
   // Time for which the store has responded to every call of this VM and of the VMs that share
   // their reads with it; zero while it doesn't respond.
   std::chrono::milliseconds ContactTime() const;
-  // Applies rows that another VM in the region has read.
-  void OnTableUpdate(const std::string& aFrom, const TableNews& aUpdate);
+  // Handles a message of another VM in the region about this table.
+  void OnMessage(const Envelope& aMessage);
+  // Asks another VM for a copy if the one that was asked doesn't answer. Must be called
+  // periodically.
+  void RetryCopy();
 
 private:
+  // Applies rows that another VM in the region has read.
+  void OnTableUpdate(const std::string& aFrom, const TableNews& aUpdate);
+  void OnMissed(const std::string& aFrom, const TableNews& aNews);
+  void OnCopyAsk(const std::string& aFrom, const TableCopyAsk& aAsk);
+  void OnCopy(const std::string& aFrom, const TableCopy& aCopy);
+  // Another VM's answer is arriving: the table has newer rows.
+  void OnAnswerBegun(std::uint64_t aBytes);
+  bool ExchangesCopies() const { return this->options.linkBytesPerSecond > 0; }
   Task<void> AwaitPollTurn();
   Task<bool> ReadAll();
   Task<bool> ReadChanges();
@@ -92,7 +110,7 @@
   void EnterEra(std::uint64_t aEra);
   // Applies what the store has answered, and passes it on.
   void OnAnswer(const placing::TableUpdate& aAnswer);
-  void Broadcast(const placing::TableUpdate& aUpdate) const;
+  void Broadcast(const placing::TableUpdate& aUpdate, std::uint64_t aAnswerBytes = 0) const;
   void Publish(const placing::TableUpdate& aUpdate);
 
   asio::steady_timer timer;
@@ -103,6 +121,12 @@
   std::mt19937_64 random;
   PollCoordinator coordinator;
   placing::TableReplica replica;
+  placing::TableCatchUp catchUp;
+  placing::CopyAllowance allowance;
+  // The compressed rows of the replica's version; kept once they were asked for.
+  std::optional<TableCopy> packed;
+  // A copy has made the call to the store that goes on needless.
+  bool isReadSuperseded = false;
   bool isStoreUnreachable = false;
   BootTime contactSince{};
   // True if the current contact began when the store became reachable again.
--- a/src/policy/placing/poll_coordinator.cc
+++ b/src/policy/placing/poll_coordinator.cc
@@ -67,6 +67,14 @@
   this->missedUpdate = true;
 }
 
+void
+PollCoordinator::OnCopy(double aJitter, BootTime aNow)
+{
+  this->missedUpdate = false;
+  this->respondedAt = aNow;
+  this->SetStagger(aJitter);
+}
+
 std::chrono::milliseconds
 PollCoordinator::LongPollWait(BootTime aNow) const
 {
--- a/test/edge/rewind_test.cc
+++ b/test/edge/rewind_test.cc
@@ -46,6 +46,7 @@
                { .table = platform::kOperatorTable, .wait = milliseconds(100), .self = "vm-1" },
                rows.MakeReader(),
                { .send = [](const TableNews&) {},
+                 .sendTo = [](const std::string&, Envelope) {},
                  .readerCount = [] { return std::size_t{ 1 }; },
                  .onEra = [this](std::uint64_t aEra) { this->era = aEra; } })
   {
@@ -75,7 +76,7 @@
             { .onView = [](FleetView) {},
               .onQuotaRange = [this](QuotaRange aRange) { this->range = aRange; },
               .onServerNews = [](VmReport) {},
-              .onTableUpdate = [](const std::string&, const TableNews&) {},
+              .onTableMessage = [](const Envelope&) {},
               .onTokenMessage = [](Envelope) {} })
   {
     REQUIRE(IsOk(this->fleet.Start()));
