--- a/src/edge/store_follower.cc
+++ b/src/edge/store_follower.cc
@@ -283,6 +283,11 @@
     this->OnAnswerBegun(aNews.answer_bytes());
     return;
   }
+  if (effect == UpdateEffect::kMissed) {
+    this->OnMissed(aFrom, aNews);
+    return;
+  }
+  // Another VM's answer counts as contact only if this VM has its rows.
   const BootTime now = BootClock::Now();
   const BootTime contact = now - std::chrono::milliseconds(aNews.store_contact_ms());
   this->coordinator.OnPeerResponse(aFrom, RandomFraction(this->random), now);
@@ -292,10 +297,6 @@
   if (this->isStoreUnreachable || isReturn) {
     this->OnStoreReachable(contact);
   }
-  if (effect == UpdateEffect::kMissed) {
-    this->OnMissed(aFrom, aNews);
-    return;
-  }
   if (effect == UpdateEffect::kApplied) {
     this->catchUp.OnCaughtUp();
     this->Publish(update);
--- a/test/edge/table_copy_test.cc
+++ b/test/edge/table_copy_test.cc
@@ -168,6 +168,25 @@
   CHECK(region.RunUntil([&] { return region.AllHave(2); }, milliseconds(5000)));
 }
 
+TEST_CASE("An update that a VM can't apply is no contact with the store")
+{
+  Region region;
+  region.isOldBuild = true;
+  REQUIRE(region.RunUntil([&] { return region.AllHave(1); }, milliseconds(3000)));
+  region.CutFromStore(region.Last());
+  region.Put(LargeConfiguration(2, 400));
+  // Contact may end when the VM notices that it has lost the store, and doesn't begin again.
+  bool hasEnded = false;
+  const auto hasReturned = [&] {
+    const bool hasContact = region.Last().follower.ContactTime() > milliseconds(0);
+    hasEnded = hasEnded || !hasContact;
+    return hasEnded && hasContact;
+  };
+  CHECK_FALSE(region.RunUntil(hasReturned, milliseconds(3000)));
+  CHECK(hasEnded);
+  CHECK(region.Last().version == 1);
+}
+
 TEST_CASE("A copy of a table that can't be read is rejected")
 {
   placing::TableUpdate whole{ .era = 3, .version = 7, .isWhole = true };
