--- a/src/edge/fleet.cc
+++ b/src/edge/fleet.cc
@@ -360,6 +360,7 @@
       continue;
     }
     const VmReport& report = member.report;
+    view.newestConfiguration = std::max(view.newestConfiguration, report.configuration_version());
     view.senders.push_back({ name, report.region() });
     view.holders.push_back(
       { RangeOf(member.record), member.record.endpoint(), report.region() == vm.region() });
--- a/src/edge/request_run.cc
+++ b/src/edge/request_run.cc
@@ -80,6 +80,10 @@
     this->Refuse(503, "no_configuration", kUnconfiguredRetryAfter);
     return false;
   }
+  if (this->state.isConfigurationOutdated) {
+    this->Refuse(503, "configuration_outdated", kUnconfiguredRetryAfter);
+    return false;
+  }
   const std::string target(ToStd(this->request.target()));
   const std::string path = target.substr(0, target.find('?'));
   this->route = this->routing->FindRoute(NormalizeHost(this->request[http::field::host]), path);
--- a/src/edge/traffic.cc
+++ b/src/edge/traffic.cc
@@ -34,6 +34,9 @@
 // Time reserved at the end of the grace period to close connections and exit.
 constexpr std::chrono::milliseconds kStopMargin{ 400 };
 constexpr std::chrono::milliseconds kStopPoll{ 20 };
+// A VM learns of a newer configuration after its acknowledgement; this fraction of the agreed time
+// remains until it stops serving by its own.
+constexpr int kOutdatedDivisor = 2;
 // Idle connections kept to a backend server, more than a VM's typical share of its slots, and to a
 // relaying VM, which takes the requests for many servers.
 constexpr std::size_t kMaxIdlePerServer = 16;
@@ -83,7 +86,8 @@
 bool
 Traffic::IsReady() const
 {
-  if (!this->dispatcher.IsReady() || this->state.isStopping) {
+  if (!this->dispatcher.IsReady() || this->state.isStopping ||
+      this->state.isConfigurationOutdated) {
     return false;
   }
   return this->fleet.canAcquireTokens || BootClock::Now() - this->configuredAt > kMaxTokenWait;
@@ -174,6 +178,7 @@
   for (int tick = 1;; ++tick) {
     co_await Sleep(timer, kTickInterval);
     this->ApplyPaths();
+    this->CheckConfigurationAge();
     this->dispatcher.Tick();
     if (this->IsReady() != this->wasReady || this->IsNewsDue()) {
       this->PublishReport();
@@ -206,6 +211,27 @@
   this->dispatcher.SetUnreachableDomains(this->paths.UnreachableDomains());
 }
 
+void
+Traffic::CheckConfigurationAge()
+{
+  const RoutingPtr& routing = this->dispatcher.CurrentRouting();
+  const BootTime now = BootClock::Now();
+  if (routing == nullptr || this->fleet.newestConfiguration <= routing->version) {
+    this->outdatedSince = BootTime{};
+  } else if (this->outdatedSince == BootTime{}) {
+    this->outdatedSince = now;
+  }
+  const bool isOutdated =
+    this->outdatedSince != BootTime{} &&
+    now - this->outdatedSince >= this->bounds.configurationTime / kOutdatedDivisor;
+  if (routing != nullptr && isOutdated != this->state.isConfigurationOutdated) {
+    this->state.isConfigurationOutdated = isOutdated;
+    Log(LogLevel::kWarning,
+        isOutdated ? "configuration_outdated" : "configuration_current",
+        { { "version", routing->version }, { "newest", this->fleet.newestConfiguration } });
+  }
+}
+
 bool
 Traffic::IsNewsDue()
 {
--- a/src/edge/traffic.h
+++ b/src/edge/traffic.h
@@ -41,6 +41,8 @@
   std::map<std::string, std::map<std::string, double>> demand;
   // The other VMs that may relay requests to backend servers.
   std::vector<placing::RelayVm> relays;
+  // The newest configuration that another VM has in force.
+  std::uint64_t newestConfiguration = 0;
   // Split between regions that another VM in this region uses, by service.
   std::map<std::string, std::vector<RegionShare>> plans;
 };
@@ -86,6 +88,8 @@
   // Whether other VMs must learn of a server's changed rate limit, or of a path that was lost or
   // regained, before the next regular report.
   bool IsNewsDue();
+  // Stops serving while another VM has had a newer configuration in force for too long.
+  void CheckConfigurationAge();
   Task<void> RunStop(std::function<void()> aOnStopped);
   SimpleResponse AnswerLookup(std::string_view aTarget) const;
   bool IsReady() const;
@@ -109,6 +113,8 @@
   FleetView fleet;
   // Time of the first configuration.
   BootTime configuredAt{};
+  // Since when another VM has had a newer configuration in force; unset while none has.
+  BootTime outdatedSince{};
   // Readiness in the last report.
   bool wasReady = false;
   BootTime reportedAt{};
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -28,6 +28,9 @@
   bool isStopping = false;
   // The process is about to exit: new requests are rejected.
   bool isClosing = false;
+  // Other VMs have had a newer configuration in force for so long that this one's must not be used
+  // any more.
+  bool isConfigurationOutdated = false;
   // Requests of callers and of other VMs.
   int openRequests = 0;
   // Requests of other VMs.
--- a/test/edge/one_vm.h
+++ b/test/edge/one_vm.h
@@ -11,6 +11,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <future>
 #include <memory>
 #include <string>
@@ -264,12 +265,12 @@
   // Updates the VM's view of the fleet and waits until it is in force.
   void SetFleet(const FleetView& aFleet)
   {
-    std::promise<void> done;
-    asio::post(this->context, [this, aFleet, &done] {
-      this->traffic->SetFleet(aFleet);
-      done.set_value();
-    });
-    done.get_future().wait();
+    this->RunOnTraffic([&] { this->traffic->SetFleet(aFleet); });
+  }
+  // Puts a configuration in force.
+  void SetRouting(const RoutingPtr& aRouting)
+  {
+    this->RunOnTraffic([&] { this->traffic->SetRouting(aRouting); });
   }
   // Replaces the VM's backend servers by a single one at this port.
   void UseServerAt(std::uint16_t aPort)
@@ -312,6 +313,16 @@
   }
 
 private:
+  void RunOnTraffic(const std::function<void()>& aAction)
+  {
+    std::promise<void> done;
+    asio::post(this->context, [&] {
+      aAction();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
   EdgedSettings settings;
   Metrics metrics;
   FakeServer first;
--- a/test/edge/traffic_test.cc
+++ b/test/edge/traffic_test.cc
@@ -135,6 +135,32 @@
   CHECK(vm.Readiness() == 200);
 }
 
+TEST_CASE("A VM that knows of a newer configuration doesn't serve by its own for long")
+{
+  OneVm vm;
+  FleetView fleet;
+  fleet.canAcquireTokens = true;
+  fleet.newestConfiguration = 1;
+  vm.SetFleet(fleet);
+  REQUIRE(vm.SendRequest(http::verb::get, "/read/x").result_int() == 200);
+  fleet.newestConfiguration = 2;
+  vm.SetFleet(fleet);
+  CHECK(vm.SendRequest(http::verb::get, "/read/x").result_int() == 200);
+  std::this_thread::sleep_for(platform::Bounds().configurationTime);
+  const std::size_t received = vm.ReceivedCount();
+  const auto refused = vm.SendRequest(http::verb::get, "/read/x");
+  CHECK(refused.result_int() == 503);
+  CHECK(refused.count(http::field::retry_after) == 1);
+  CHECK(vm.ReceivedCount() == received);
+  CHECK(vm.Readiness() == 503);
+  auto newer = std::make_shared<Routing>(*MakeTestRouting());
+  newer->version = 2;
+  vm.SetRouting(newer);
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  CHECK(vm.SendRequest(http::verb::get, "/read/x").result_int() == 200);
+  CHECK(vm.Readiness() == 200);
+}
+
 TEST_CASE("A connection is kept open after a response")
 {
   OneVm vm;
