--- a/include/plantainhaven/policy/placing/table_catch_up.h
+++ b/include/plantainhaven/policy/placing/table_catch_up.h
@@ -31,8 +31,8 @@
 
   // Another VM gives copies of a version that this VM lacks.
   void OnHolder(const std::string& aVm, BootTime aNow);
-  // Another VM is reading an answer that takes this VM's link `aLinkTime`. VMs with wide links
-  // read the store first; the others wait for a quarter of that time in case a copy comes.
+  // Another VM is reading an answer that takes this VM's link `aLinkTime`. This VM waits for that
+  // long before it reads the answer too, so that VMs with wide links come first and give copies.
   void OnAnswerBegun(std::chrono::milliseconds aLinkTime, BootTime aNow);
   // The VM doesn't give a copy now.
   void OnRefused(const std::string& aVm);
--- a/src/policy/placing/table_catch_up.cc
+++ b/src/policy/placing/table_catch_up.cc
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr std::size_t kMaxHolders = 64;
-constexpr int kHeadStartDivisor = 4;
 constexpr std::chrono::milliseconds kCopyWindow{ 250 };
 constexpr double kLinkFraction = 0.25;
 
@@ -36,7 +35,7 @@
 void
 TableCatchUp::OnAnswerBegun(std::chrono::milliseconds aLinkTime, BootTime aNow)
 {
-  this->HoldReading(aLinkTime / kHeadStartDivisor, aNow);
+  this->HoldReading(aLinkTime, aNow);
 }
 
 void
--- a/test/policy/placing/table_catch_up_test.cc
+++ b/test/policy/placing/table_catch_up_test.cc
@@ -45,8 +45,8 @@
     milliseconds linkTime;
     milliseconds expected;
   };
-  const Case cases[] = { { "wide link", milliseconds(48), milliseconds(12) },
-                         { "narrow link", milliseconds(960), milliseconds(240) },
+  const Case cases[] = { { "wide link", milliseconds(48), milliseconds(48) },
+                         { "narrow link", milliseconds(304), milliseconds(300) },
                          { "very narrow link", milliseconds(20000), milliseconds(300) } };
   for (const Case& entry : cases) {
     CAPTURE(entry.name);
