--- a/test/edge/fake_server.h
+++ b/test/edge/fake_server.h
@@ -69,6 +69,17 @@
     const std::lock_guard<std::mutex> lock(this->mutex);
     return this->arrived;
   }
+  // Ends as a process does that crashes: all connections break, and new ones are refused.
+  void Crash()
+  {
+    this->isStopping = true;
+    ::shutdown(this->acceptor.native_handle(), SHUT_RDWR);
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    for (const auto& socket : this->sockets) {
+      ::shutdown(socket->native_handle(), SHUT_RDWR);
+    }
+  }
+  bool HasCrashed() const { return this->isStopping; }
   void SetHandler(FakeHandler aHandler)
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
