--- a/src/policy/placing/path_monitor.cc
+++ b/src/policy/placing/path_monitor.cc
@@ -10,6 +10,9 @@
 using std::chrono::seconds;
 
 constexpr std::size_t kFailedServers = 2;
+// A server that refuses connections may have ended while its machine is reachable, so more of them
+// must refuse; from the second one on, others are probed.
+constexpr std::size_t kRefusingServers = 5;
 // Time without a response after which requests in flight make a path doubtful: a multiple of the
 // mean time between two responses, within these bounds.
 constexpr double kQuietGaps = 6;
@@ -61,7 +64,10 @@
 {
   Path& path = this->paths[aDomain];
   if (path.isLost) {
-    path.successes = 0;
+    // A server that has refused all along doesn't show that the path is still lost.
+    if (path.failed.insert(aServer).second || aFailure == ConnectFailure::kSilent) {
+      path.successes = 0;
+    }
     path.isSilent = path.isSilent || aFailure == ConnectFailure::kSilent;
     return false;
   }
@@ -69,7 +75,9 @@
     return false;
   }
   path.failed.insert(aServer);
-  if (path.failed.size() < std::min(kFailedServers, aServerCount)) {
+  const std::size_t needed =
+    aFailure == ConnectFailure::kRefused ? kRefusingServers : kFailedServers;
+  if (path.failed.size() < std::min(needed, aServerCount)) {
     return false;
   }
   const bool isRecurrence = path.lostAt != BootTime{} && aNow - path.lostAt < kLossMemory;
@@ -172,7 +180,8 @@
     return false;
   }
   const bool isUnconfirmed = aIsAnyLost && aNow - aPath.respondedAt > kSignOfLifeTime;
-  return aPath.isLost || isUnconfirmed || IsQuiet(aPath, aNow);
+  return aPath.isLost || isUnconfirmed || IsQuiet(aPath, aNow) ||
+         aPath.failed.size() >= kFailedServers;
 }
 
 std::vector<PathProbe>
@@ -184,7 +193,8 @@
     if (!IsProbeDue(path, isAnyLost, aNow)) {
       continue;
     }
-    due.push_back({ domain, path.isLost ? 1 : kFailedServers });
+    const bool isRefused = !path.isLost && path.failed.size() >= kFailedServers;
+    due.push_back({ domain, path.isLost ? 1 : isRefused ? kRefusingServers : kFailedServers });
     path.probedAt = aNow;
     const milliseconds longest = path.isLost ? kMaxLostProbeInterval : kMaxProbeInterval;
     path.probeInterval = std::clamp(path.probeInterval * 2, kMinProbeInterval, longest);
--- a/test/policy/placing/path_monitor_test.cc
+++ b/test/policy/placing/path_monitor_test.cc
@@ -80,6 +80,41 @@
   }
 }
 
+TEST_CASE("Servers that have ended aren't taken for a lost path while others accept connections")
+{
+  Monitored path;
+  CHECK_FALSE(path.Fail("s1", ConnectFailure::kRefused));
+  CHECK(path.ProbesDue() == 0);
+  CHECK_FALSE(path.Fail("s2", ConnectFailure::kRefused));
+  CHECK(path.ProbesDue() == 5);
+  CHECK_FALSE(path.Fail("s3", ConnectFailure::kRefused));
+  CHECK_FALSE(path.Fail("s4", ConnectFailure::kRefused));
+  path.now += milliseconds(1);
+  path.Connect();
+  CHECK_FALSE(path.Fail("s1", ConnectFailure::kRefused));
+  CHECK_FALSE(path.monitor.IsLost(kDomain));
+}
+
+TEST_CASE("A lost path that works again is used although some servers have ended")
+{
+  Monitored path;
+  for (int loss = 0; loss < 4; ++loss) {
+    for (const char* const server : { "s1", "s2", "s3", "s4", "s5" }) {
+      path.Fail(server, ConnectFailure::kRefused);
+    }
+    REQUIRE(path.monitor.IsLost(kDomain));
+    // Every second probe meets a server that has ended.
+    for (int probe = 0; probe < 8 && path.monitor.IsLost(kDomain); ++probe) {
+      path.now += milliseconds(1);
+      path.Connect();
+      path.Fail("s1", ConnectFailure::kRefused);
+    }
+    CHECK_FALSE(path.monitor.IsLost(kDomain));
+    path.now += seconds(1);
+    path.Connect();
+  }
+}
+
 TEST_CASE("Requests without a response make a path doubtful, and it is probed")
 {
   Monitored path;
