--- a/src/edge/edge_program.cc
+++ b/src/edge/edge_program.cc
@@ -67,7 +67,7 @@
   Task<void> RunPeriodically();
   Task<void> WatchSettings();
   void ReloadSettings();
-  SimpleResponse RespondToOperator(const SimpleRequest& aRequest) const;
+  SimpleResponse RespondToOperator(const SimpleRequest& aRequest);
   void AwaitSignal();
   void OnSignal(int aSignal);
   void RunContext(asio::io_context& aContext, const char* aThread);
@@ -275,8 +275,12 @@
 }
 
 SimpleResponse
-Edge::RespondToOperator(const SimpleRequest& aRequest) const
+Edge::RespondToOperator(const SimpleRequest& aRequest)
 {
+  if (aRequest.target() == "/quarantine/clear" && aRequest.method() == beast::http::verb::post) {
+    this->traffic.ClearQuarantine();
+    return { .status = 200, .contentType = "text/plain", .body = "cleared\n" };
+  }
   if (aRequest.target() == "/state") {
     return { .status = 200, .contentType = "text/plain", .body = this->traffic.StateText() };
   }
--- a/src/edge/fleet.cc
+++ b/src/edge/fleet.cc
@@ -150,6 +150,7 @@
   this->ownReport = std::move(aReport);
   this->ResetSilentLinks();
   const bool isRemoteTurn = isStateChange || this->ownReport.has_limit_news() ||
+                            this->ownReport.has_crash_news() ||
                             this->reportCount++ % kReportsPerRemoteReport == 0;
   for (auto& [name, member] : this->members) {
     if (isRemoteTurn || this->IsSameRegion(member) || member.linkWatch.NeedsResend()) {
@@ -314,7 +315,7 @@
   if (report.introduction()) {
     this->SendReport(member, false);
   }
-  if (report.loads_size() > 0 || report.limits_size() > 0) {
+  if (report.loads_size() > 0 || report.limits_size() > 0 || report.crashes_size() > 0) {
     this->listener.onServerNews(report);
   }
   if (isStateChange) {
--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -31,7 +31,7 @@
 {
   std::function<void(FleetView)> onView;
   std::function<void(QuotaRange)> onQuotaRange;
-  // A report that tells loads or rate limits of backend servers, for the traffic thread.
+  // A report that tells loads, rate limits or ends of backend servers, for the traffic thread.
   std::function<void(VmReport)> onServerNews;
   // Rows of the store that a VM in this region has read, and copies of tables.
   std::function<void(const Envelope&)> onTableMessage;
--- a/src/edge/forwarding.cc
+++ b/src/edge/forwarding.cc
@@ -1,5 +1,6 @@
 #include "edge/forwarding.h"
 
+#include "plantainhaven/common/digest.h"
 #include "platform/names.h"
 
 #include <algorithm>
@@ -9,6 +10,9 @@
 namespace plantainhaven::edge {
 namespace {
 
+// Hexadecimal digits of a request's digest.
+constexpr std::size_t kDigestLength = 32;
+
 constexpr std::array<std::string_view, 10> kHopByHopFields{
   "connection",          "expect", "keep-alive", "proxy-connection",  "proxy-authenticate",
   "proxy-authorization", "te",     "trailer",    "transfer-encoding", "upgrade"
@@ -109,6 +113,23 @@
   return head;
 }
 
+placing::RequestDigest
+DigestOf(const CallerRequest& aRequest, std::string_view aAccount, std::string_view aBody)
+{
+  const std::string host = NormalizeHost(aRequest[http::field::host]);
+  std::string text;
+  for (const std::string_view part : { aAccount,
+                                       ToStd(aRequest.method_string()),
+                                       std::string_view(host),
+                                       ToStd(aRequest.target()),
+                                       ToStd(aRequest[platform::kAffinityKeyHeader]),
+                                       aBody.substr(0, CallerBody::kMaxBufferedBytes) }) {
+    text += std::to_string(part.size()) + ":";
+    text += part;
+  }
+  return Sha256Hex(text).substr(0, kDigestLength);
+}
+
 ServerRequestHead
 RelayedHead(const CallerRequest& aRequest, std::chrono::milliseconds aLeft)
 {
--- a/src/edge/forwarding.h
+++ b/src/edge/forwarding.h
@@ -2,6 +2,7 @@
 
 #include "edge/caller_body.h"
 #include "edge/names.h"
+#include "plantainhaven/policy/placing/crash_ledger.h"
 
 #include <boost/beast/http.hpp>
 #include <chrono>
@@ -49,6 +50,11 @@
               const Account* aAccount,
               std::chrono::milliseconds aLeft);
 
+// The digest of what makes two requests the same; the id and the deadline don't. `aAccount` is the
+// account's name, and `aBody` the first part of the body.
+placing::RequestDigest
+DigestOf(const CallerRequest& aRequest, std::string_view aAccount, std::string_view aBody);
+
 // Builds the request head for a backend server from a request that another VM relays through this
 // one, which is such a head already.
 ServerRequestHead
--- a/src/edge/relay_run.cc
+++ b/src/edge/relay_run.cc
@@ -1,5 +1,6 @@
 #include "edge/relay_run.h"
 
+#include "edge/crash_watch.h"
 #include "edge/forwarding.h"
 #include "plantainhaven/common/log.h"
 #include "platform/names.h"
@@ -150,6 +151,11 @@
   }
   const bool hasResponse =
     exchange.IsAnswered() && (exchange.IsWhole() || exchange.Outcome() == SendOutcome::kServed);
+  if (exchange.Outcome() == SendOutcome::kBroken && !exchange.IsAnswered()) {
+    const auto digest =
+      DigestOf(this->request, ToStd(this->request[platform::kAccountHeader]), this->body.First());
+    co_await RecordBrokenAttempt(this->state, this->requestId, digest, aServer);
+  }
   bool isOpen = false;
   if (hasResponse) {
     isOpen = co_await this->ForwardResponse(exchange);
--- a/src/edge/request_run.cc
+++ b/src/edge/request_run.cc
@@ -1,5 +1,6 @@
 #include "edge/request_run.h"
 
+#include "edge/crash_watch.h"
 #include "edge/forwarding.h"
 #include "edge/reserved_slot.h"
 #include "plantainhaven/common/log.h"
@@ -22,6 +23,8 @@
 constexpr std::chrono::milliseconds kUnconfiguredRetryAfter{ 300 };
 constexpr std::chrono::milliseconds kNotExecutedRetryAfter{ 200 };
 constexpr std::chrono::milliseconds kStoppingRetryAfter{ 50 };
+// Time until the attempt of a suspected request that runs is likely to have ended.
+constexpr std::chrono::milliseconds kSuspectedRetryAfter{ 500 };
 
 } // namespace
 
@@ -115,6 +118,60 @@
   co_return acquisition.acquired;
 }
 
+const placing::RequestDigest&
+RequestRun::Digest()
+{
+  if (this->digest.empty()) {
+    const bool hasAccount = this->account != nullptr;
+    this->digest = DigestOf(this->request,
+                            hasAccount ? std::string_view(this->account->name) : std::string_view(),
+                            this->body.First());
+  }
+  return this->digest;
+}
+
+placing::CrashVerdict
+RequestRun::Verdict()
+{
+  if (this->state.crashes.IsEmpty()) {
+    return placing::CrashVerdict::kUnsuspected;
+  }
+  return this->state.crashes.VerdictOn(this->Digest(), BootClock::Now());
+}
+
+bool
+RequestRun::RefuseQuarantined()
+{
+  const placing::CrashVerdict verdict = this->Verdict();
+  const unsigned status = this->mayHaveExecuted ? 502 : 503;
+  if (verdict == placing::CrashVerdict::kQuarantined) {
+    const auto left = this->state.crashes.TimeLeft(this->Digest(), BootClock::Now());
+    this->Refuse(status, "crashes_servers", left);
+    return true;
+  }
+  if (verdict == placing::CrashVerdict::kSuspected &&
+      this->state.crashes.IsRunning(this->Digest())) {
+    this->Refuse(status, "may_crash_servers", kSuspectedRetryAfter);
+    return true;
+  }
+  return false;
+}
+
+Task<void>
+RequestRun::RecordAttempt(const BackendServer& aServer, ServerAttempt& aAttempt)
+{
+  const Exchange& exchange = aAttempt.HttpExchange();
+  if (exchange.IsAnswered() && !exchange.IsNotExecuted() && !this->state.crashes.IsEmpty() &&
+      exchange.Head().find(platform::kSignatureHeader) != exchange.Head().end()) {
+    RecordAnswer(this->state, this->Digest());
+  }
+  // A relaying VM records what it has seen itself.
+  if (!aAttempt.IsRelayed() && !aAttempt.IsWayLost() &&
+      exchange.Outcome() == SendOutcome::kBroken && !exchange.IsAnswered()) {
+    co_await RecordBrokenAttempt(this->state, this->requestId, this->Digest(), aServer);
+  }
+}
+
 std::string
 RequestRun::PickService()
 {
@@ -167,7 +224,7 @@
 RequestRun::Run()
 {
   this->requestId = std::string(ToStd(this->request[platform::kRequestIdHeader]));
-  if (!this->Admit()) {
+  if (!this->Admit() || this->RefuseQuarantined()) {
     co_return co_await this->WriteRefusal();
   }
   const bool hasToken = co_await this->AcquireToken();
@@ -219,6 +276,15 @@
   const std::chrono::milliseconds left = this->TimeLeft();
   ServerWay way = this->state.paths.WayTo(aServer, this->dispatchRequest.allowed);
   this->dispatchRequest.excluded.push_back(aServer.id);
+  // Other VMs may have seen servers end under the request while it waited.
+  if (this->RefuseQuarantined()) {
+    slot.End(SendOutcome::kAbandoned);
+    co_return Next::kDone;
+  }
+  std::optional<RunningRequest> running;
+  if (this->Verdict() == placing::CrashVerdict::kSuspected) {
+    running.emplace(this->state.crashes, this->Digest());
+  }
   if (left.count() <= 0) {
     slot.End(SendOutcome::kAbandoned);
     this->Refuse(this->mayHaveExecuted ? 504 : 503, "deadline", kNotExecutedRetryAfter);
@@ -282,6 +348,7 @@
     this->state.metrics.Count("plantainhaven_caller_left_total", "while", "running");
     co_return Next::kClose;
   }
+  co_await this->RecordAttempt(aServer, aAttempt);
   if (aAttempt.IsWayLost()) {
     aSlot.End(aAttempt.Evidence());
     this->mayHaveExecuted = true;
@@ -367,6 +434,7 @@
   const bool hasTime =
     this->TimeLeft() > this->state.dispatcher.MeanResponseTime(this->dispatchRequest.service) / 4;
   return hasTime && this->attempts < this->route->maxAttempts &&
+         this->Verdict() == placing::CrashVerdict::kUnsuspected &&
          this->state.dispatcher.TryAcquireRetry(this->dispatchRequest.service);
 }
 
--- a/src/edge/request_run.h
+++ b/src/edge/request_run.h
@@ -52,6 +52,15 @@
   // Acquires a token of the account. Returns false when the request was rejected, and sets
   // `refusal` in that case.
   Task<bool> AcquireToken();
+  // The request's digest for the ledger of requests that end servers.
+  const placing::RequestDigest& Digest();
+  // What the ledger says of this request.
+  placing::CrashVerdict Verdict();
+  // Refuses the request if it must not be sent because servers ended under it. Returns true, and
+  // sets `refusal`, in that case.
+  bool RefuseQuarantined();
+  // Records whether a server has answered the attempt or ended under it.
+  Task<void> RecordAttempt(const BackendServer& aServer, ServerAttempt& aAttempt);
   void Refuse(unsigned aStatus, std::string_view aReason, std::chrono::milliseconds aRetryAfter);
   void PrepareDispatch();
   std::string PickService();
@@ -101,6 +110,7 @@
   BootTime dispatchedAt{};
   BootTime deadlineAt{};
   DispatchRequest dispatchRequest;
+  placing::RequestDigest digest;
   int attempts = 0;
   int connectFailures = 0;
   bool mayHaveExecuted = false;
--- a/src/edge/traffic.cc
+++ b/src/edge/traffic.cc
@@ -1,6 +1,7 @@
 #include "edge/traffic.h"
 
 #include "edge/caller_session.h"
+#include "edge/crash_watch.h"
 #include "edge/simple_server.h"
 #include "plantainhaven/common/log.h"
 #include "platform/decode.h"
@@ -79,7 +80,7 @@
   , pool(kMaxIdlePerServer)
   , relayPool(kMaxIdlePerRelay)
   , paths(aContext, this->pool, aMetrics, this->random, aSettings.vm().region())
-  , state{ aContext, dispatcher, tokens, pool, relayPool, paths, aMetrics, this->random }
+  , state{ aContext, dispatcher, tokens, pool, relayPool, paths, crashes, aMetrics, this->random }
 {
 }
 
@@ -236,7 +237,7 @@
 Traffic::IsNewsDue()
 {
   return BootClock::Now() - this->reportedAt >= kMinReportInterval &&
-         (this->dispatcher.HasLimitNews() ||
+         (this->dispatcher.HasLimitNews() || this->crashes.HasNews() ||
           this->paths.LostDomains() != this->reportedLostDomains);
 }
 
@@ -249,6 +250,7 @@
   report.set_ready(this->wasReady);
   report.set_leaving(this->state.isStopping);
   this->dispatcher.FillReport(report);
+  FillCrashes(this->crashes, report);
   this->reportedLostDomains = this->paths.LostDomains();
   for (const std::string& domain : this->reportedLostDomains) {
     report.add_lost_domains(domain);
@@ -304,6 +306,11 @@
     text << "quota holder=" << holder.endpoint << " begin=" << holder.range.begin
          << " end=" << holder.range.end << "\n";
   }
+  const BootTime now = BootClock::Now();
+  for (const placing::CrashRecord& record : this->crashes.Quarantined(now)) {
+    text << "quarantined request=" << record.request << " servers_ended=" << record.crashes.size()
+         << " left_ms=" << this->crashes.TimeLeft(record.request, now).count() << "\n";
+  }
   this->dispatcher.Describe(text);
   return text.str();
 }
@@ -340,6 +347,20 @@
   }
 }
 
+void
+Traffic::OnPeerReport(const VmReport& aReport)
+{
+  this->dispatcher.OnPeerReport(aReport);
+  MergeCrashes(this->crashes, aReport);
+}
+
+void
+Traffic::ClearQuarantine()
+{
+  Log(LogLevel::kInfo, "quarantine_cleared", { { "requests", this->crashes.Size() } });
+  this->crashes.Clear(BootClock::Now());
+}
+
 void
 Traffic::SetQuotaRange(const QuotaRange& aRange)
 {
--- a/src/edge/traffic.h
+++ b/src/edge/traffic.h
@@ -72,7 +72,9 @@
   void SetServers(const std::vector<BackendServer>& aServers, BootTime aReadAt);
   void SetAvoidedDomains(const std::vector<std::string>& aDomains);
   void SetFleet(FleetView aFleet);
-  void OnPeerReport(const VmReport& aReport) { this->dispatcher.OnPeerReport(aReport); }
+  void OnPeerReport(const VmReport& aReport);
+  // Sends quarantined requests to backend servers again, on all VMs.
+  void ClearQuarantine();
   void SetQuotaRange(const QuotaRange& aRange);
   TokenBroker& Tokens() { return this->tokens; }
 
@@ -105,6 +107,7 @@
   UpstreamPool pool;
   UpstreamPool relayPool;
   ServerPaths paths;
+  placing::CrashLedger crashes;
   TrafficState state;
   // "ADDRESS:PORT" where requests of other VMs are accepted.
   std::string relayEndpoint;
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -6,6 +6,7 @@
 #include "edge/token_broker.h"
 #include "edge/upstream_pool.h"
 #include "plantainhaven/common/metrics.h"
+#include "plantainhaven/policy/placing/crash_ledger.h"
 
 #include <chrono>
 #include <random>
@@ -22,6 +23,7 @@
   UpstreamPool& pool;
   UpstreamPool& relayPool;
   ServerPaths& paths;
+  placing::CrashLedger& crashes;
   Metrics& metrics;
   std::mt19937_64& random;
   // SIGTERM was received: responses tell callers to close their connections.
--- a/test/edge/deadly_request_test.cc
+++ b/test/edge/deadly_request_test.cc
@@ -15,6 +15,7 @@
 constexpr milliseconds kWork{ 15 };
 // Time until the VMs have told each other of a crash.
 constexpr milliseconds kNewsTime{ 300 };
+const std::string kQuarantineRefusal = "503 crashes_servers";
 
 // Backend servers that end when they run a request for a path with "deadly" in it.
 class FragileServers
@@ -50,12 +51,6 @@
   std::vector<BackendServer> entries;
 };
 
-bool
-IsQuarantineRefusal(const std::string& aStatus)
-{
-  return aStatus == "503 crashes_servers";
-}
-
 // Three crashes, and three retries after the third.
 TEST_CASE("A request that ends the servers that run it is kept from the others")
 {
@@ -82,10 +77,10 @@
     CHECK(servers.CrashedCount() <= 6);
     CHECK(servers.CrashedCount() >= 1);
     for (std::size_t vm = 0; vm < 3; ++vm) {
-      CHECK(IsQuarantineRefusal(vms.Send(vm, entry.method, entry.path, "same")));
+      CHECK(vms.Send(vm, entry.method, entry.path, "same") == kQuarantineRefusal);
       CHECK(vms.Send(vm, http::verb::get, "/read/other") == "200");
     }
-    CHECK(std::none_of(innocent.begin(), innocent.end(), IsQuarantineRefusal));
+    CHECK_FALSE(innocent.contains(kQuarantineRefusal));
   }
 }
 
