--- a/include/plantainhaven/policy/placing/placement.h
+++ b/include/plantainhaven/policy/placing/placement.h
@@ -138,6 +138,11 @@
   // Records that another VM reported `aRequests` requests on the server whose id has this hash.
   void OnPeerLoad(std::uint64_t aServerHash, int aRequests, BootTime aNow);
 
+  // Records that a response of the server said that it is leaving. It gets no more requests,
+  // whatever it reports, until its process has restarted.
+  void OnLeaving(const std::string& aServer);
+  // Records that the server has rejected a request and wants none from this VM for this long.
+  void OnBackOff(const std::string& aServer, std::chrono::milliseconds aTime, BootTime aNow);
   // Records that a response of the server named a rate limit for all VMs together, in requests
   // per second, or none. Returns whether the limit has changed.
   bool OnLimit(const std::string& aServer, std::optional<double> aRate, BootTime aNow);
@@ -157,8 +162,10 @@
   std::vector<ServerStatus> ServerStatuses(BootTime aNow) const;
   // Null when the server isn't known. Valid until the next change of the placement.
   const BackendServer* Find(const std::string& aServer) const;
-  // Returns whether a server is known and neither draining nor in an avoided failure domain.
+  // Returns whether a server is known and neither leaving nor in an avoided failure domain.
   bool AcceptsRequests(const std::string& aServer) const;
+  // Returns whether the server wants no requests of this VM now; see OnBackOff().
+  bool IsBackedOff(const std::string& aServer, BootTime aNow) const;
 
 private:
   struct Impl;
--- a/src/edge/dispatcher.cc
+++ b/src/edge/dispatcher.cc
@@ -301,6 +301,23 @@
   }
 }
 
+void
+Dispatcher::OnLeaving(const std::string& aServer)
+{
+  if (this->placement.AcceptsRequests(aServer)) {
+    Log(LogLevel::kInfo, "server_leaving", { { "server", aServer } });
+  }
+  this->placement.OnLeaving(aServer);
+}
+
+void
+Dispatcher::OnBackOff(const std::string& aServer, std::chrono::milliseconds aTime)
+{
+  Log(LogLevel::kInfo, "server_backs_off", { { "server", aServer }, { "ms", aTime.count() } });
+  this->metrics.Count("plantainhaven_server_back_offs_total");
+  this->placement.OnBackOff(aServer, aTime, BootClock::Now());
+}
+
 void
 Dispatcher::OnPeerReport(const VmReport& aReport)
 {
--- a/src/edge/dispatcher.h
+++ b/src/edge/dispatcher.h
@@ -127,6 +127,15 @@
   void OnLoad(const std::string& aServer, const ServerLoad& aLoad);
   // Applies a response of the server that names a rate limit, or none.
   void OnLimit(const std::string& aServer, std::optional<double> aRate);
+  // Applies a response of the server that says that it is leaving.
+  void OnLeaving(const std::string& aServer);
+  // Applies a response of the server that wants no requests from this VM for a time.
+  void OnBackOff(const std::string& aServer, std::chrono::milliseconds aTime);
+  // Whether the server wants no requests from this VM now.
+  bool IsBackedOff(const std::string& aServer) const
+  {
+    return this->placement.IsBackedOff(aServer, BootClock::Now());
+  }
   // Applies the server loads and rate limits in the report of another VM.
   void OnPeerReport(const VmReport& aReport);
   // Whether a response to this VM has changed a server's rate limit much since the last report: the
--- a/src/edge/exchange.cc
+++ b/src/edge/exchange.cc
@@ -30,6 +30,8 @@
 // Fraction of a stated idle timeout for which a connection is kept, because the server starts its
 // timer earlier.
 constexpr double kIdleFraction = 0.8;
+// Longest Retry-After of a server that is taken at its word.
+constexpr double kMaxBackOffSeconds = 3600;
 // Longest part of a malformed field that is logged.
 constexpr std::size_t kMaxLoggedText = 40;
 
@@ -355,6 +357,7 @@
   const bool isForThisRequest = isEchoed || !this->upstream->isReused;
   if (isForThisRequest && !isMisdirected && !this->isOutOfSync) {
     this->ReadLimit(isEchoed && isSigned);
+    this->ReadDeparture();
   }
   if ((statesNotExecuted || isMisdirected) && isForThisRequest && !this->isOutOfSync) {
     this->isNotExecuted = true;
@@ -377,6 +380,10 @@
   this->outcome = OutcomeOf(this->Head()[kRelayOutcomeField]);
   this->parser->get().erase(kRelayOutcomeField);
   this->errorText = "stated by the relaying VM";
+  if (this->outcome == SendOutcome::kShed || this->outcome == SendOutcome::kServed ||
+      this->outcome == SendOutcome::kFailed) {
+    this->ReadDeparture();
+  }
   switch (this->outcome) {
     case SendOutcome::kNoConnection:
     case SendOutcome::kNotRelayed:
@@ -428,6 +435,21 @@
       { { "server", this->target.key }, { "text", text.substr(0, kMaxLoggedText) } });
 }
 
+void
+Exchange::ReadDeparture()
+{
+  const ServerHead& head = this->Head();
+  this->isServerLeaving = head[platform::kLeavingHeader] == platform::kLeavingValue;
+  const auto retryAfter = head[http::field::retry_after];
+  if (this->Status() != 503 || retryAfter.empty()) {
+    return;
+  }
+  if (const auto seconds = platform::DecodeRate({ retryAfter.data(), retryAfter.size() })) {
+    this->backOff = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::duration<double>(std::min(*seconds, kMaxBackOffSeconds)));
+  }
+}
+
 std::optional<std::uint64_t>
 Exchange::ContentLength() const
 {
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -86,6 +86,10 @@
   std::optional<ServerLoad> Load() const { return this->load; }
   // What the response states about the server's rate limit; nothing when it states nothing.
   std::optional<LimitStatement> Limit() const { return this->limit; }
+  // The server says that it is leaving.
+  bool IsServerLeaving() const { return this->isServerLeaving; }
+  // How long the server, which has rejected the request, wants none from this VM.
+  std::optional<std::chrono::milliseconds> BackOff() const { return this->backOff; }
   // Error text for the log; empty when there was no error.
   const std::string& Fault() const { return this->errorText; }
   // The connection has served an earlier request.
@@ -113,6 +117,8 @@
   // Adopts the outcome that a relaying VM states.
   void ClassifyRelayed(bool aIsSigned, bool aIsEchoed);
   void ReadLimit(bool aIsSigned);
+  // Reads whether the server is leaving, and for how long it wants no requests.
+  void ReadDeparture();
 
   asio::io_context& context;
   UpstreamPool& pool;
@@ -133,6 +139,8 @@
   bool isAnswered = false;
   std::optional<ServerLoad> load;
   std::optional<LimitStatement> limit;
+  bool isServerLeaving = false;
+  std::optional<std::chrono::milliseconds> backOff;
   std::string errorText;
   const char* connectResult = "reused";
   bool isConnectTimeout = false;
--- a/src/edge/relay_run.cc
+++ b/src/edge/relay_run.cc
@@ -82,7 +82,8 @@
   this->server = std::string(ToStd(this->request[platform::kTargetHeader]));
   const auto left = ParseInteger(this->request[platform::kDeadlineHeader]);
   this->deadlineAt = BootClock::Now() + std::chrono::milliseconds(left.value_or(0));
-  if (!this->state.dispatcher.AcceptsRequests(this->server)) {
+  if (!this->state.dispatcher.AcceptsRequests(this->server) ||
+      this->state.dispatcher.IsBackedOff(this->server)) {
     // This concerns the server, so the other VM must choose another one, not another relay.
     co_return co_await this->Reject("server_unknown_or_leaving", SendOutcome::kNoConnection);
   }
@@ -139,12 +140,7 @@
   const auto timeout = this->TimeLeft() + kResponseTransitTime;
   const std::function<bool()> mayRepeat = [] { return false; };
   co_await attempt.Send(std::move(head), this->body, timeout, mayRepeat);
-  if (exchange.Load()) {
-    this->state.dispatcher.OnLoad(aServer.id, *exchange.Load());
-  }
-  if (exchange.Limit()) {
-    this->state.dispatcher.OnLimit(aServer.id, exchange.Limit()->rate);
-  }
+  attempt.ApplyStatements();
   if (this->HasPeerDisconnected() && !exchange.IsAnswered()) {
     end(SendOutcome::kAbandoned);
     co_return false;
--- a/src/edge/request_run.cc
+++ b/src/edge/request_run.cc
@@ -310,6 +310,13 @@
     this->LogFailure(aServer, attempt);
     co_return this->AfterNotSent(aServer, attempt);
   }
+  const bool stillAccepts = this->state.dispatcher.AcceptsRequests(aServer.id) &&
+                            !this->state.dispatcher.IsBackedOff(aServer.id);
+  if (!stillAccepts) {
+    // The server has begun to leave while the connection was opened.
+    slot.End(SendOutcome::kAbandoned);
+    co_return Next::kRetry;
+  }
   ++this->attempts;
   if (this->attempts == 1) {
     this->state.dispatcher.OnFirstAttempt(this->dispatchRequest.service);
@@ -331,12 +338,7 @@
     return this->MayRepeat();
   };
   co_await aAttempt.Send(std::move(head), this->body, left + kResponseTransitTime, mayRepeat);
-  if (exchange.Load()) {
-    this->state.dispatcher.OnLoad(aServer.id, *exchange.Load());
-  }
-  if (exchange.Limit()) {
-    this->state.dispatcher.OnLimit(aServer.id, exchange.Limit()->rate);
-  }
+  aAttempt.ApplyStatements();
   if (this->body.Fault() == http::error::body_limit) {
     aSlot.End(SendOutcome::kAbandoned);
     exchange.Cancel();
--- a/src/edge/server_attempt.cc
+++ b/src/edge/server_attempt.cc
@@ -74,6 +74,24 @@
   }
 }
 
+void
+ServerAttempt::ApplyStatements()
+{
+  Dispatcher& dispatcher = this->state.dispatcher;
+  if (this->exchange.Load()) {
+    dispatcher.OnLoad(this->server.id, *this->exchange.Load());
+  }
+  if (this->exchange.Limit()) {
+    dispatcher.OnLimit(this->server.id, this->exchange.Limit()->rate);
+  }
+  if (this->exchange.IsServerLeaving()) {
+    dispatcher.OnLeaving(this->server.id);
+  }
+  if (this->exchange.BackOff()) {
+    dispatcher.OnBackOff(this->server.id, *this->exchange.BackOff());
+  }
+}
+
 bool
 ServerAttempt::WasNotSent() const
 {
--- a/src/edge/server_attempt.h
+++ b/src/edge/server_attempt.h
@@ -37,6 +37,8 @@
                   CallerBody& aBody,
                   std::chrono::milliseconds aTimeout,
                   std::function<bool()> aMayRepeat);
+  // Tells the dispatcher what the response states about the server: load, rate limit, departure.
+  void ApplyStatements();
   // The attempt ended because its way was lost.
   bool IsWayLost() const { return this->isWayLost; }
   // Nothing was sent to the server.
--- a/src/policy/placing/placement.cc
+++ b/src/policy/placing/placement.cc
@@ -51,6 +51,10 @@
 constexpr std::chrono::seconds kLimitProbeInterval{ 2 };
 // Withdrawn limits are reported to other VMs for this long.
 constexpr std::chrono::seconds kWithdrawalReportTime{ 10 };
+// The longest time for which a server is left alone at its word.
+constexpr std::chrono::milliseconds kMaxBackOff{ 120000 };
+// Leaving servers that are remembered after their reports are gone.
+constexpr std::size_t kMaxLeaving = 1024;
 constexpr std::uint64_t kPositionSalt = 0x5bd1e9955bd1e995ULL;
 
 struct ServiceRecord
@@ -117,7 +121,7 @@
 const char*
 StateOf(const ServerRecord& aRecord, BootTime aNow)
 {
-  if (aRecord.Entry().isDraining) {
+  if (aRecord.Entry().isDraining || aRecord.IsLeaving()) {
     return "draining";
   }
   if (aRecord.IsAvoided()) {
@@ -129,6 +133,9 @@
   if (aRecord.Limit().Rate()) {
     return "limited";
   }
+  if (aRecord.BackOffUntil() > aNow) {
+    return "backed_off";
+  }
   return aRecord.IsCold(aNow) ? "cold" : "ready";
 }
 
@@ -153,6 +160,9 @@
 
   ServerRecord* Find(const std::string& aServer);
   double MeanResponseTime(std::string_view aService) const;
+  // Marks the servers whose processes have said that they are leaving. They stay so although their
+  // report may be missing for a time.
+  void RestoreLeaving();
   // Rebuilds the lookup tables of the servers.
   void BuildIndex();
   // Checks what changes with time: the server isn't ejected, and if it is cold, this VM is one
@@ -201,6 +211,8 @@
   std::map<std::string, ServerRecord> servers;
   std::unordered_map<std::uint64_t, ServerRecord*> byHash;
   std::map<std::string, ServiceRecord, std::less<>> services;
+  // Servers whose responses have said that they are leaving, with the start of their process.
+  std::map<std::string, std::chrono::sys_time<std::chrono::milliseconds>> leaving;
   std::set<std::string> avoided;
   std::set<std::string> unreachable;
   std::set<std::string> regions;
@@ -209,7 +221,13 @@
   // VMs that are heard, by region.
   std::map<std::string, std::size_t> peersByRegion;
   RateSharing sharing;
-  // The shortest time until one of the servers left out for its rate limit admits a request.
+  // Adopts the time until a server that was left out admits a request if it is the shortest.
+  void OfferRetryAfter(std::chrono::milliseconds aWait)
+  {
+    this->limitRetryAfter = std::min(aWait, this->limitRetryAfter.value_or(aWait));
+  }
+  // The shortest time until one of the servers left out for its rate limit, or because it wants no
+  // requests for a time, admits a request.
   std::optional<std::chrono::milliseconds> limitRetryAfter;
   // A member to reuse its memory between calls.
   std::vector<Ranked> ranked;
@@ -229,6 +247,26 @@
   return found == this->services.end() ? 0 : found->second.meanResponseTime;
 }
 
+void
+Placement::Impl::RestoreLeaving()
+{
+  for (auto& [id, record] : this->servers) {
+    const auto known = this->leaving.find(id);
+    if (known == this->leaving.end()) {
+      continue;
+    }
+    if (known->second == record.Entry().startedAt) {
+      record.SetLeaving();
+    } else {
+      this->leaving.erase(known);
+    }
+  }
+  if (this->leaving.size() > kMaxLeaving) {
+    std::erase_if(this->leaving,
+                  [this](const auto& aEntry) { return !this->servers.contains(aEntry.first); });
+  }
+}
+
 void
 Placement::Impl::BuildIndex()
 {
@@ -241,7 +279,7 @@
     this->byHash[record.Hash()] = &record;
     record.SetAvoided(this->avoided.contains(entry.failureDomain));
     this->regions.insert(entry.region);
-    if (!entry.isDraining && !record.IsAvoided()) {
+    if (record.AcceptsRequests()) {
       this->services[entry.service].byRegion[entry.region].push_back(&record);
     }
   }
@@ -363,11 +401,13 @@
     if (wasTried || !this->IsUsableNow(*record, aNow)) {
       continue;
     }
-    if (this->IsWithinLimit(*record, aNow)) {
+    if (record->BackOffUntil() > aNow) {
+      this->OfferRetryAfter(
+        std::chrono::ceil<std::chrono::milliseconds>(record->BackOffUntil() - aNow));
+    } else if (this->IsWithinLimit(*record, aNow)) {
       this->ranked.push_back({ RendezvousRank(aRequest.object, record->Hash()), record });
     } else {
-      const std::chrono::milliseconds wait = this->TimeToLimitToken(*record, aNow);
-      this->limitRetryAfter = std::min(wait, this->limitRetryAfter.value_or(wait));
+      this->OfferRetryAfter(this->TimeToLimitToken(*record, aNow));
     }
   }
 }
@@ -536,6 +576,7 @@
     this->impl->services.try_emplace(server.service);
   }
   this->impl->servers = std::move(kept);
+  this->impl->RestoreLeaving();
   this->impl->BuildIndex();
 }
 
@@ -683,6 +724,26 @@
   }
 }
 
+void
+Placement::OnLeaving(const std::string& aServer)
+{
+  ServerRecord* const record = this->impl->Find(aServer);
+  if (record == nullptr || record->IsLeaving()) {
+    return;
+  }
+  this->impl->leaving[aServer] = record->Entry().startedAt;
+  record->SetLeaving();
+  this->impl->BuildIndex();
+}
+
+void
+Placement::OnBackOff(const std::string& aServer, std::chrono::milliseconds aTime, BootTime aNow)
+{
+  if (ServerRecord* const record = this->impl->Find(aServer)) {
+    record->OnBackOff(aNow + std::min<std::chrono::milliseconds>(aTime, kMaxBackOff));
+  }
+}
+
 bool
 Placement::OnLimit(const std::string& aServer, std::optional<double> aRate, BootTime aNow)
 {
@@ -731,7 +792,7 @@
   for (const auto& [id, record] : this->impl->servers) {
     const BackendServer& entry = record.Entry();
     const bool counts =
-      entry.service == aService && !entry.isDraining && !record.IsAvoided() && !record.IsCold(aNow);
+      entry.service == aService && record.AcceptsRequests() && !record.IsCold(aNow);
     slots[entry.region] += counts ? SlotsWithinLimit(record, mean) : 0;
   }
   std::vector<RegionState> states;
@@ -795,7 +856,14 @@
 Placement::AcceptsRequests(const std::string& aServer) const
 {
   const ServerRecord* const record = this->impl->Find(aServer);
-  return record != nullptr && !record->Entry().isDraining && !record->IsAvoided();
+  return record != nullptr && record->AcceptsRequests();
+}
+
+bool
+Placement::IsBackedOff(const std::string& aServer, BootTime aNow) const
+{
+  const ServerRecord* const record = this->impl->Find(aServer);
+  return record != nullptr && record->BackOffUntil() > aNow;
 }
 
 } // namespace plantainhaven::placing
--- a/src/policy/placing/server_record.h
+++ b/src/policy/placing/server_record.h
@@ -6,6 +6,7 @@
 #include "plantainhaven/policy/placing/routing.h"
 #include "plantainhaven/policy/placing/send_bucket.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -51,6 +52,17 @@
 
   const BackendServer& Entry() const { return this->entry; }
   std::uint64_t Hash() const { return this->hash; }
+  // The server has rejected a request and wants none until the given time.
+  void OnBackOff(BootTime aUntil) { this->backOffUntil = std::max(this->backOffUntil, aUntil); }
+  BootTime BackOffUntil() const { return this->backOffUntil; }
+  // A response of the server's process has said that it is leaving.
+  bool IsLeaving() const { return this->isLeaving; }
+  void SetLeaving() { this->isLeaving = true; }
+  // Whether requests may be sent to the server at all.
+  bool AcceptsRequests() const
+  {
+    return !this->entry.isDraining && !this->isAvoided && !this->isLeaving;
+  }
   // Whether the server's failure domain is being drained.
   bool IsAvoided() const { return this->isAvoided; }
   void SetAvoided(bool aIsAvoided) { this->isAvoided = aIsAvoided; }
@@ -61,6 +73,8 @@
   BackendServer entry;
   std::uint64_t hash = 0;
   bool isAvoided = false;
+  bool isLeaving = false;
+  BootTime backOffUntil{};
   int inFlight = 0;
   // Requests of other VMs according to the newest load report.
   double peerRequests = 0;
--- a/test/edge/one_vm.h
+++ b/test/edge/one_vm.h
@@ -81,6 +81,19 @@
            true };
 }
 
+// A response whose head breaks off before its end.
+inline FakeAnswer
+TruncatedHead(const FakeRequest& aRequest)
+{
+  return { "HTTP/1.1 200 OK\r\n" + IdLine(aRequest) + kSignatureLine + "Content-Le", true };
+}
+
+inline FakeAnswer
+TruncatedAfterHeadLine(const FakeRequest& aRequest)
+{
+  return { "HTTP/1.1 200 OK\r\n" + IdLine(aRequest) + kSignatureLine, true };
+}
+
 inline FakeAnswer
 MalformedResponse(const FakeRequest&)
 {
