--- a/test/adapter/decode_test.cc
+++ b/test/adapter/decode_test.cc
@@ -71,6 +71,48 @@
   CHECK_FALSE(IsOk(DecodeServer("i-1", "\x01\xff", kRegions)));
 }
 
+// Another writer's entry with such a value must not end the process that reads it.
+TEST_CASE("An entry of a server with a value beyond all bounds names no server")
+{
+  struct Case
+  {
+    std::string from;
+    std::string to;
+    std::string field;
+  };
+  const std::string deep(200000, '[');
+  const Case cases[] = {
+    { R"("version":"v1")", R"("version":)" + deep, "all" },
+    { R"("version":"v1")", R"("version":)" + deep + std::string(200000, ']') + R"(,"x":[)", "all" },
+    { R"("max_concurrency":9)", R"("max_concurrency":99999999999999999999)", "max_concurrency" },
+    { R"("max_concurrency":9)", R"("max_concurrency":18446744073709551615)", "max_concurrency" },
+    { R"("max_concurrency":9)", R"("max_concurrency":4294967297)", "max_concurrency" },
+    { R"("max_concurrency":9)", R"("max_concurrency":2147483647)", "max_concurrency" },
+    { R"("max_concurrency":9)", R"("max_concurrency":1e999)", "all" },
+    { R"("max_concurrency":9)", R"("max_concurrency":-1)", "max_concurrency" },
+    { R"("warmup_left_ms":120)", R"("warmup_left_ms":1e300)", "warmup_left_ms" },
+    { R"("warmup_left_ms":120)", R"("warmup_left_ms":-5)", "warmup_left_ms" },
+    { R"("sequence":4)", R"("sequence":9223372036854775808)", "sequence" },
+    { R"("born":17)", R"("born":9223372036854775808)", "born" },
+    { R"("born":17)", R"("born":-17)", "born" },
+    { "10.128.0.9:8080", "10.128.0.9:65536", "address" },
+    { "10.128.0.9:8080", "10.128.0.9:-1", "address" },
+    { "10.128.0.9:8080", "10.128.0.999:8080", "address" },
+    { "10.128.0.9:8080", "a name:8080", "address" },
+    { "10.128.0.9:8080", ":8080", "address" },
+  };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.from, entry.to.substr(0, 60));
+    const auto decoded = DecodeServer("i-1", Replaced(kReport, entry.from, entry.to), kRegions);
+    REQUIRE_FALSE(IsOk(decoded));
+    CHECK(ErrorOf(decoded).field == entry.field);
+  }
+  // Nested deeply but well-formed, in a field that isn't read.
+  const std::string nested = deep + std::string(200000, ']');
+  CHECK(IsOk(DecodeServer(
+    "i-1", Replaced(kReport, R"("version":"v1")", R"("version":)" + nested), kRegions)));
+}
+
 constexpr const char* kConfiguration =
   R"({"version":7,"services":[{"name":"portal","health_path":"/health","max_connections":360,)"
   R"("warmup_s":3.0,"warmup_per_s":15.0}],"limits":{"max_header_bytes":16384,)"
