--- a/test/edge/traffic_test.cc
+++ b/test/edge/traffic_test.cc
@@ -29,6 +29,10 @@
     { "closed, not idempotent", post, "/book/x", ClosedWithoutAnswer, 502, 1 },
     { "truncated, idempotent", get, "/read/x", Truncated, 200, 2 },
     { "truncated, not idempotent", post, "/book/x", Truncated, 502, 1 },
+    { "truncated head, idempotent", get, "/read/x", TruncatedHead, 200, 2 },
+    { "truncated head, not idempotent", post, "/book/x", TruncatedHead, 502, 1 },
+    { "head without its end, idempotent", get, "/read/x", TruncatedAfterHeadLine, 200, 2 },
+    { "head without its end, not idempotent", post, "/book/x", TruncatedAfterHeadLine, 502, 1 },
     { "no response, idempotent", get, "/read/x", MalformedResponse, 200, 2 },
     { "no response, not idempotent", post, "/book/x", MalformedResponse, 502, 1 },
     { "unsigned, idempotent", get, "/read/x", Unsigned, 200, 2 },
@@ -111,6 +115,42 @@
 }
 
 // Under overload, a request may be read long after its caller has closed the connection.
+// A caller was told "not run, try again" for a request that the server was running.
+TEST_CASE(
+  "A rejection that a server repeats on a kept connection isn't taken for a later request's")
+{
+  struct Case
+  {
+    const char* name;
+    bool repeatsId;
+  };
+  for (const Case& entry :
+       { Case{ "with the earlier id", true }, Case{ "without an id", false } }) {
+    CAPTURE(entry.name);
+    OneVm vm;
+    const auto rejection = std::make_shared<std::string>();
+    FakeServer server([rejection, &entry](const FakeRequest& aRequest) {
+      if (!rejection->empty()) {
+        return FakeAnswer{ *rejection + Served(aRequest).bytes };
+      }
+      const std::string bytes = Shed(aRequest).bytes;
+      const std::string id = IdLine(aRequest);
+      *rejection = bytes;
+      if (!entry.repeatsId) {
+        rejection->erase(rejection->find(id), id.size());
+      }
+      return FakeAnswer{ bytes };
+    });
+    vm.UseServerAt(server.Port());
+    CHECK(vm.SendRequest(http::verb::post, "/book/x").result_int() == 503);
+    const auto second = vm.SendRequest(http::verb::post, "/book/x");
+    REQUIRE(server.Arrived().size() == 2);
+    CHECK(second.result_int() != 503);
+    CHECK(second.result_int() != 429);
+    CHECK((second.result_int() != 200 || second.body() == "whole"));
+  }
+}
+
 TEST_CASE("A request whose caller disconnected before it was read isn't forwarded")
 {
   OneVm vm;
