--- a/src/edge/dispatcher.cc
+++ b/src/edge/dispatcher.cc
@@ -19,6 +19,9 @@
 // A request is rejected unless this fraction of the mean response time remains when it starts.
 constexpr double kMinTimeFraction = 0.3;
 constexpr std::chrono::milliseconds kNoServerRetryAfter{ 500 };
+// Another VM can take the request at once.
+constexpr DispatchFailure kStoppingFailure{ DispatchFailureReason::kStopping,
+                                            std::chrono::milliseconds(50) };
 // Fraction by which a rate limit must change for a report of its own.
 constexpr double kLargeLimitChange = 0.25;
 // Callers that were refused because of a rate limit compete for the next token.
@@ -78,6 +81,8 @@
       return "server_limit";
     case DispatchFailureReason::kCallerDisconnected:
       return "caller_left";
+    case DispatchFailureReason::kStopping:
+      return "stopping";
   }
   return "unknown";
 }
@@ -195,6 +200,9 @@
 Task<DispatchResult>
 Dispatcher::Acquire(DispatchRequest aRequest, std::uint64_t& aWaiter)
 {
+  if (this->isStopping) {
+    co_return kStoppingFailure;
+  }
   const BootTime now = BootClock::Now();
   ServiceState& state = this->StateOf(aRequest.service);
   this->placement.OnRequest(aRequest.object, now);
@@ -242,6 +250,15 @@
   this->CompleteWait(aWaiter, DispatchFailure{ DispatchFailureReason::kCallerDisconnected, {} });
 }
 
+void
+Dispatcher::RejectAll()
+{
+  this->isStopping = true;
+  while (!this->waiting.empty()) {
+    this->CompleteWait(this->waiting.begin()->first, kStoppingFailure);
+  }
+}
+
 void
 Dispatcher::CompleteWait(std::uint64_t aWaiter, DispatchResult aResult)
 {
--- a/src/edge/dispatcher.h
+++ b/src/edge/dispatcher.h
@@ -57,6 +57,7 @@
   kNoCapacity,         // No slot is expected to become free in time.
   kServerLimit,        // The rate limits of all eligible servers are used up.
   kCallerDisconnected, // The caller closed its connection while the request was queued.
+  kStopping,           // The process is about to end.
 };
 
 // The reason's name in metrics, logs and response bodies.
@@ -103,6 +104,8 @@
   Task<DispatchResult> Acquire(DispatchRequest aRequest, std::uint64_t& aWaiter);
   // Removes a request from the queue after its caller has disconnected.
   void CancelWait(std::uint64_t aWaiter);
+  // Rejects all queued requests, and those that come, because the process is about to end.
+  void RejectAll();
   void End(const BackendServer& aServer, SendOutcome aOutcome, std::chrono::milliseconds aTook);
   // Whether the server is known and neither draining nor in an avoided failure domain.
   bool AcceptsRequests(const std::string& aServer) const
@@ -225,6 +228,7 @@
   // Moving average of the bytes in a response, by route.
   std::map<std::string, double> responseBytes;
   std::uint64_t nextWaiter = 1;
+  bool isStopping = false;
   bool hasLimitNews = false;
   placing::LimitRotation limitRotation;
   // VMs among which the fleet's retry slack is divided.
--- a/src/edge/relay_run.cc
+++ b/src/edge/relay_run.cc
@@ -123,6 +123,11 @@
   ServerAttempt attempt(this->state, aServer, ServerWay{});
   Exchange& exchange = attempt.HttpExchange();
   this->watch.OnDisconnect([&exchange] { exchange.Cancel(); });
+  const EndNotice ending(this->state, [&exchange] {
+    if (!exchange.IsAnswered()) {
+      exchange.Cancel();
+    }
+  });
   // The other VM's request may not be idempotent, so the stricter limit applies to all.
   const bool isConnected = co_await attempt.Connect(kMaxIdleNonIdempotent, this->TimeLeft());
   this->watch.CheckNow();
@@ -147,7 +152,8 @@
   }
   const bool hasResponse =
     exchange.IsAnswered() && (exchange.IsWhole() || exchange.Outcome() == SendOutcome::kServed);
-  if (exchange.Outcome() == SendOutcome::kBroken && !exchange.IsAnswered()) {
+  if (!this->state.isEnding && exchange.Outcome() == SendOutcome::kBroken &&
+      !exchange.IsAnswered()) {
     const auto digest =
       DigestOf(this->request, ToStd(this->request[platform::kAccountHeader]), this->body.First());
     co_await RecordBrokenAttempt(this->state, this->requestId, digest, aServer);
--- a/src/edge/request_run.cc
+++ b/src/edge/request_run.cc
@@ -166,7 +166,7 @@
     RecordAnswer(this->state, this->Digest());
   }
   // A relaying VM records what it has seen itself.
-  if (!aAttempt.IsRelayed() && !aAttempt.IsWayLost() &&
+  if (!this->state.isEnding && !aAttempt.IsRelayed() && !aAttempt.IsWayLost() &&
       exchange.Outcome() == SendOutcome::kBroken && !exchange.IsAnswered()) {
     co_await RecordBrokenAttempt(this->state, this->requestId, this->Digest(), aServer);
   }
@@ -281,6 +281,11 @@
     slot.End(SendOutcome::kAbandoned);
     co_return Next::kDone;
   }
+  if (this->state.isEnding) {
+    slot.End(SendOutcome::kAbandoned);
+    this->Refuse(this->mayHaveExecuted ? 502 : 503, "stopping", kStoppingRetryAfter);
+    co_return Next::kDone;
+  }
   std::optional<RunningRequest> running;
   if (this->Verdict() == placing::CrashVerdict::kSuspected) {
     running.emplace(this->state.crashes, this->Digest());
@@ -298,6 +303,11 @@
   ServerAttempt attempt(this->state, aServer, std::move(way));
   Exchange& exchange = attempt.HttpExchange();
   this->watch.OnDisconnect([&exchange] { exchange.Cancel(); });
+  const EndNotice ending(this->state, [&exchange] {
+    if (!exchange.IsAnswered()) {
+      exchange.Cancel();
+    }
+  });
   const bool isConnected = co_await attempt.Connect(this->MaxIdle(aServer), left);
   this->watch.CheckNow();
   if (this->watch.HasDisconnected()) {
@@ -435,7 +445,7 @@
 {
   const bool hasTime =
     this->TimeLeft() > this->state.dispatcher.MeanResponseTime(this->dispatchRequest.service) / 4;
-  return hasTime && this->attempts < this->route->maxAttempts &&
+  return hasTime && this->attempts < this->route->maxAttempts && !this->state.isEnding &&
          this->Verdict() == placing::CrashVerdict::kUnsuspected &&
          this->state.dispatcher.TryAcquireRetry(this->dispatchRequest.service);
 }
--- a/src/edge/traffic.cc
+++ b/src/edge/traffic.cc
@@ -32,8 +32,10 @@
 // A new VM has no tokens until it has received reports of the others and isn't ready before
 // that. It becomes ready after this time even if they stay silent.
 constexpr std::chrono::milliseconds kMaxTokenWait{ 1500 };
-// Time reserved at the end of the grace period to close connections and exit.
-constexpr std::chrono::milliseconds kStopMargin{ 400 };
+// Time reserved at the end of the grace period to answer what is still open, close connections and
+// exit, and the part of it for the answers.
+constexpr std::chrono::milliseconds kStopMargin{ 600 };
+constexpr std::chrono::milliseconds kStopAnswerTime{ 250 };
 constexpr std::chrono::milliseconds kStopPoll{ 20 };
 // A VM learns of a newer configuration after its acknowledgement; this fraction of the agreed time
 // remains until it stops serving by its own.
@@ -381,6 +383,18 @@
   asio::co_spawn(this->context, this->RunStop(std::move(aOnStopped)), asio::detached);
 }
 
+void
+Traffic::EndRequests()
+{
+  Log(LogLevel::kInfo, "stop_ends_requests", { { "open_requests", this->state.openRequests } });
+  this->state.isEnding = true;
+  this->dispatcher.RejectAll();
+  // Each action lets the coroutine of a request go on later, so none is removed meanwhile.
+  for (const auto& action : this->state.onEnding) {
+    action();
+  }
+}
+
 Task<void>
 Traffic::RunStop(std::function<void()> aOnStopped)
 {
@@ -392,6 +406,12 @@
   while (this->state.openRequests > 0 && BootClock::Now() < endAt) {
     co_await Sleep(timer, kStopPoll);
   }
+  if (this->state.openRequests > 0) {
+    this->EndRequests();
+  }
+  while (this->state.openRequests > 0 && BootClock::Now() < endAt + kStopAnswerTime) {
+    co_await Sleep(timer, kStopPoll);
+  }
   Log(LogLevel::kInfo, "stopped", { { "open_requests", this->state.openRequests } });
   aOnStopped();
 }
--- a/src/edge/traffic.h
+++ b/src/edge/traffic.h
@@ -93,6 +93,8 @@
   // Stops serving while another VM has had a newer configuration in force for too long.
   void CheckConfigurationAge();
   Task<void> RunStop(std::function<void()> aOnStopped);
+  // Answers all requests that still wait for a slot or for a server's response.
+  void EndRequests();
   SimpleResponse AnswerLookup(std::string_view aTarget) const;
   bool IsReady() const;
 
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -9,7 +9,10 @@
 #include "plantainhaven/policy/placing/crash_ledger.h"
 
 #include <chrono>
+#include <functional>
+#include <list>
 #include <random>
+#include <utility>
 
 namespace plantainhaven::edge {
 
@@ -30,6 +33,10 @@
   bool isStopping = false;
   // The process is about to exit: new requests are rejected.
   bool isClosing = false;
+  // The grace period ends: requests are answered at once, whatever they wait for.
+  bool isEnding = false;
+  // Called when the grace period ends; see EndNotice.
+  std::list<std::function<void()>> onEnding{};
   // Other VMs have had a newer configuration in force for so long that this one's must not be used
   // any more.
   bool isConfigurationOutdated = false;
@@ -39,4 +46,22 @@
   int relayedRequests = 0;
 };
 
+// Calls an action when the grace period ends, unless it is destroyed before.
+class EndNotice
+{
+public:
+  EndNotice(TrafficState& aState, std::function<void()> aAction)
+    : state(aState)
+    , position(aState.onEnding.insert(aState.onEnding.end(), std::move(aAction)))
+  {
+  }
+  ~EndNotice() { this->state.onEnding.erase(this->position); }
+  EndNotice(const EndNotice&) = delete;
+  EndNotice& operator=(const EndNotice&) = delete;
+
+private:
+  TrafficState& state;
+  std::list<std::function<void()>>::iterator position;
+};
+
 } // namespace plantainhaven::edge
--- a/test/edge/one_vm.h
+++ b/test/edge/one_vm.h
@@ -204,24 +204,26 @@
   // connection ends before the response is complete.
   ReceivedResponse SendRequest(http::verb aMethod,
                                const std::string& aPath,
-                               const std::string& aKey = "key-1")
+                               const std::string& aKey = "key-1",
+                               const std::string& aDeadline = "1500")
   {
     asio::io_context clientContext;
     Tcp::socket socket(clientContext);
     socket.connect({ asio::ip::make_address("127.0.0.1"), this->callersPort });
-    return this->SendRequestOn(socket, aMethod, aPath, aKey);
+    return this->SendRequestOn(socket, aMethod, aPath, aKey, aDeadline);
   }
 
   ReceivedResponse SendRequestOn(Tcp::socket& aSocket,
                                  http::verb aMethod,
                                  const std::string& aPath,
-                                 const std::string& aKey = "key-1")
+                                 const std::string& aKey = "key-1",
+                                 const std::string& aDeadline = "1500")
   {
     http::request<http::string_body> request(aMethod, aPath, 11);
     request.set(http::field::host, "shop.example");
     request.set(platform::kRequestIdHeader, "id-" + std::to_string(++this->requestCount));
     request.set(platform::kAffinityKeyHeader, "17");
-    request.set(platform::kDeadlineHeader, "1500");
+    request.set(platform::kDeadlineHeader, aDeadline);
     request.set(platform::kAccountHeader, "forged");
     request.set(http::field::authorization, "Token " + aKey);
     request.prepare_payload();
@@ -285,6 +287,29 @@
   {
     this->RunOnTraffic([&] { this->traffic->SetRouting(aRouting); });
   }
+  // Begins an orderly stop as SIGTERM does, and stops the VM's thread when it is complete.
+  void Stop(std::chrono::milliseconds aGrace)
+  {
+    this->RunOnTraffic([&] {
+      platform::Bounds bounds;
+      bounds.stopGrace = aGrace;
+      this->traffic->SetBounds(bounds);
+      this->traffic->BeginStop([this] { this->context.stop(); });
+    });
+  }
+  // Waits until the VM has stopped.
+  void AwaitStop()
+  {
+    while (!this->context.stopped()) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+  }
+  // Makes both servers answer with this handler.
+  void SetServerHandler(const FakeHandler& aHandler)
+  {
+    this->first.SetHandler(aHandler);
+    this->second.SetHandler(aHandler);
+  }
   // Replaces the VM's backend servers by a single one at this port.
   void UseServerAt(std::uint16_t aPort)
   {
