--- a/src/programs/plantain-soak/main.cc
+++ b/src/programs/plantain-soak/main.cc
@@ -22,6 +22,7 @@
   soak.servers = aGiven["servers"].as<int>();
   soak.callers = aGiven["callers"].as<int>();
   soak.program = aGiven["program"].as<std::string>();
+  soak.otherProgram = aGiven["other-program"].as<std::string>();
   soak.folder = aGiven["folder"].as<std::string>() + "/seed-" + std::to_string(aSeed);
   return soak;
 }
@@ -59,7 +60,10 @@
     "servers", options::value<int>()->default_value(6), "Backend servers.")(
     "callers", options::value<int>()->default_value(24), "Callers.")(
     "program", options::value<std::string>()->required(), "Path of plantain-edged.")(
-    "folder", options::value<std::string>()->default_value("soak"), "Folder for logs.");
+    "other-program",
+    options::value<std::string>()->default_value(""),
+    "Path of another build of plantain-edged. VMs begin with it and change the build with each "
+    "restart.")("folder", options::value<std::string>()->default_value("soak"), "Folder for logs.");
   try {
     options::variables_map given;
     options::store(options::parse_command_line(aArgc, aArgv, description), given);
--- a/src/programs/plantain-soak/soak.cc
+++ b/src/programs/plantain-soak/soak.cc
@@ -132,6 +132,7 @@
   vm.failureDomain = DomainOf(aNumber);
   vm.region = vm.failureDomain.substr(0, 5);
   vm.program = this->options.program;
+  vm.otherProgram = this->options.otherProgram;
   vm.folder = this->options.folder;
   const std::string address = this->store.Address();
   const int port = std::stoi(address.substr(address.rfind(':') + 1));
--- a/src/programs/plantain-soak/soak.h
+++ b/src/programs/plantain-soak/soak.h
@@ -29,6 +29,9 @@
   int callers = 24;
   // Path of plantain-edged.
   std::string program;
+  // Path of another build of plantain-edged. VMs begin with it and change the build with each
+  // restart.
+  std::string otherProgram;
   // Folder for settings and logs.
   std::string folder;
 };
--- a/src/programs/plantain-soak/vm_process.cc
+++ b/src/programs/plantain-soak/vm_process.cc
@@ -54,14 +54,16 @@
   ::posix_spawn_file_actions_addopen(
     &actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   ::posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-  std::array<std::string, 3> words{ this->options.program, "--config", settings };
+  const bool isOther = !this->options.otherProgram.empty() && this->starts++ % 2 == 0;
+  const std::string& program = isOther ? this->options.otherProgram : this->options.program;
+  std::array<std::string, 3> words{ program, "--config", settings };
   std::array<char*, 4> arguments{ words[0].data(), words[1].data(), words[2].data(), nullptr };
-  const int fault = ::posix_spawn(
-    &this->id, this->options.program.c_str(), &actions, nullptr, arguments.data(), environ);
+  const int fault =
+    ::posix_spawn(&this->id, program.c_str(), &actions, nullptr, arguments.data(), environ);
   ::posix_spawn_file_actions_destroy(&actions);
   if (fault != 0) {
     this->id = 0;
-    throw std::system_error(fault, std::generic_category(), this->options.program);
+    throw std::system_error(fault, std::generic_category(), program);
   }
 }
 
--- a/src/programs/plantain-soak/vm_process.h
+++ b/src/programs/plantain-soak/vm_process.h
@@ -24,6 +24,8 @@
   std::string failureDomain;
   // Path of plantain-edged.
   std::string program;
+  // Path of another build of it, with which every other start begins; empty for none.
+  std::string otherProgram{};
   // Folder for settings and log.
   std::string folder;
   std::uint16_t store = 0;
@@ -54,6 +56,7 @@
   VmOptions options;
   pid_t id = 0;
   int status = 0;
+  int starts = 0;
 };
 
 } // namespace plantainhaven::soak
