--- a/src/policy/placing/crash_ledger.cc
+++ b/src/policy/placing/crash_ledger.cc
@@ -1,7 +1,6 @@
 #include "plantainhaven/policy/placing/crash_ledger.h"
 
 #include <algorithm>
-#include <iterator>
 
 namespace plantainhaven::placing {
 namespace {
@@ -16,41 +15,39 @@
 // An answer clears the crashes before it for this long, in case another VM tells of them late.
 constexpr std::chrono::seconds kAnswerMemory{ 30 };
 constexpr std::size_t kMaxCrashes = 8;
-// Two suspicions make a request worth telling other VMs at once.
 constexpr std::size_t kCrashesToSuspect = 2;
+constexpr std::chrono::seconds kExpiryInterval{ 1 };
 constexpr std::chrono::seconds kNewsTime{ 3 };
 
+} // namespace
+
+std::size_t
+CrashLedger::Count(const CrashRecord& aRecord)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aRecord.crashes.begin(), aRecord.crashes.end(), [&](const CrashRecord::Crash& aCrash) {
+      return aCrash.at > aRecord.answeredAt;
+    }));
+}
+
 BootTime
-LastCrash(const std::vector<CrashRecord::Crash>& aCrashes)
+CrashLedger::LastCrash(const CrashRecord& aRecord)
 {
   BootTime last{};
-  for (const CrashRecord::Crash& crash : aCrashes) {
+  for (const CrashRecord::Crash& crash : aRecord.crashes) {
     last = std::max(last, crash.at);
   }
   return last;
 }
 
-} // namespace
-
-std::vector<CrashRecord::Crash>
-CrashLedger::Counted(const CrashRecord& aRecord)
-{
-  std::vector<CrashRecord::Crash> counted;
-  std::copy_if(aRecord.crashes.begin(),
-               aRecord.crashes.end(),
-               std::back_inserter(counted),
-               [&](const CrashRecord::Crash& aCrash) { return aCrash.at > aRecord.answeredAt; });
-  return counted;
-}
-
 BootTime
 CrashLedger::QuarantinedUntil(const CrashRecord& aRecord)
 {
-  const auto counted = Counted(aRecord);
-  if (counted.size() < kCrashesToQuarantine) {
+  const std::size_t count = Count(aRecord);
+  if (count < kCrashesToQuarantine) {
     return BootTime{};
   }
-  return LastCrash(counted) + kFirstQuarantine * (1 << (counted.size() - kCrashesToQuarantine));
+  return LastCrash(aRecord) + kFirstQuarantine * (1 << (count - kCrashesToQuarantine));
 }
 
 CrashLedger::Entry&
@@ -64,8 +61,8 @@
     // Requests with little evidence give way to new ones before those with more.
     const auto least = std::min_element(
       this->entries.begin(), this->entries.end(), [](const auto& aLeft, const auto& aRight) {
-        return std::pair(Counted(aLeft.second.record).size(), aLeft.second.changedAt) <
-               std::pair(Counted(aRight.second.record).size(), aRight.second.changedAt);
+        return std::pair(Count(aLeft.second.record), aLeft.second.changedAt) <
+               std::pair(Count(aRight.second.record), aRight.second.changedAt);
       });
     this->entries.erase(least);
   }
@@ -96,13 +93,16 @@
 void
 CrashLedger::Expire(BootTime aNow)
 {
-  std::erase_if(this->entries, [aNow](auto& aEntry) {
+  if (aNow - this->expiredAt < kExpiryInterval) {
+    return;
+  }
+  this->expiredAt = aNow;
+  std::erase_if(this->entries, [aNow](const auto& aEntry) {
     const CrashRecord& record = aEntry.second.record;
-    const auto counted = Counted(record);
-    const auto memory = counted.size() < kCrashesToQuarantine
+    const auto memory = Count(record) < kCrashesToQuarantine
                           ? std::chrono::seconds(kSuspicionMemory)
                           : std::chrono::seconds(kQuarantineMemory);
-    return aNow - LastCrash(counted) > memory && aNow - record.answeredAt > kAnswerMemory;
+    return aNow - LastCrash(record) > memory && aNow - record.answeredAt > kAnswerMemory;
   });
 }
 
@@ -111,8 +111,10 @@
 {
   this->Expire(aNow);
   Entry& entry = this->EntryOf(aRequest);
-  const bool isNew = this->Add(entry, { aServer, aNow }, aNow);
-  this->hasNews = this->hasNews || (isNew && Counted(entry.record).size() >= kCrashesToSuspect);
+  if (this->Add(entry, { aServer, aNow }, aNow)) {
+    entry.seenAt = aNow;
+    this->hasNews = this->hasNews || Count(entry.record) >= kCrashesToQuarantine;
+  }
 }
 
 void
@@ -122,6 +124,7 @@
     entry.record.answeredAt = aNow;
     entry.record.crashes.clear();
     entry.changedAt = aNow;
+    entry.seenAt = aNow;
   }
 }
 
@@ -132,11 +135,12 @@
   if (found == this->entries.end()) {
     return;
   }
-  const bool hadCrashes = !Counted(found->second.record).empty();
+  const bool hadCrashes = Count(found->second.record) > 0;
   found->second.record.answeredAt = aNow;
   found->second.record.crashes.clear();
   if (hadCrashes) {
     found->second.changedAt = aNow;
+    found->second.seenAt = aNow;
   }
 }
 
@@ -168,8 +172,8 @@
   if (aNow < QuarantinedUntil(found->second.record)) {
     return CrashVerdict::kQuarantined;
   }
-  return Counted(found->second.record).size() >= kCrashesToSuspect ? CrashVerdict::kSuspected
-                                                                   : CrashVerdict::kUnsuspected;
+  return Count(found->second.record) >= kCrashesToSuspect ? CrashVerdict::kSuspected
+                                                          : CrashVerdict::kUnsuspected;
 }
 
 std::chrono::milliseconds
@@ -204,18 +208,21 @@
 {
   this->Expire(aNow);
   this->hasNews = false;
-  std::vector<CrashRecord> news;
-  std::vector<CrashRecord> others;
+  std::vector<CrashRecord> reported;
+  std::vector<const CrashRecord*> others;
   for (const auto& [request, entry] : this->entries) {
-    (aNow - entry.changedAt < kNewsTime ? news : others).push_back(entry.record);
+    if (aNow - entry.seenAt < kNewsTime && reported.size() < kMaxOwnReported) {
+      reported.push_back(entry.record);
+    } else if (Count(entry.record) >= kCrashesToSuspect) {
+      others.push_back(&entry.record);
+    }
   }
-  news.resize(std::min(news.size(), kMaxReported));
-  const std::size_t room = std::min(kMaxReported - news.size(), others.size());
-  for (std::size_t i = 0; i < room; ++i) {
-    news.push_back(others[(this->position + i) % others.size()]);
+  const std::size_t count = std::min(kMaxOthersReported, others.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    reported.push_back(*others[(this->position + i) % others.size()]);
   }
-  this->position += room;
-  return news;
+  this->position += count;
+  return reported;
 }
 
 std::vector<CrashRecord>
