Log answers of the store that are older than the VM's copy

The other half, a message that doesn't follow what its receiver has, is event=update_missed with rows_omitted=false already.

--- a/src/edge/store_follower.cc
+++ b/src/edge/store_follower.cc
@@ -213,6 +213,14 @@
 TableFollower::OnAnswer(const TableUpdate& aAnswer)
 {
   const UpdateEffect effect = this->replica.Apply(aAnswer);
+  if (effect == UpdateEffect::kOlder) {
+    Log(LogLevel::kInfo,
+        "answer_older",
+        { { "table", this->options.table },
+          { "answer_version", aAnswer.version },
+          { "rows", aAnswer.rows.size() },
+          { "version", this->replica.Version() } });
+  }
   this->catchUp.OnCaughtUp();
   if (this->replica.IsWhole()) {
     this->Broadcast(this->replica.MakeUpdate(aAnswer, kMaxUpdateBytes));
