Don't go back to an older copy of a table when the store's history is gone

What callers would see: an evacuation or a key's change that a VM had in force is out of force again until its next read. Cause: after the store has discarded its history a VM takes the next whole table, whatever its version, and another VM's copy, asked for before, may be older than what the VM had. Why this works: a replica keeps its version as the lower bound within an era. Evidence: the schedule of table_replica_test discards histories now and requires that no replica goes back; "A replica doesn't go back to an older copy after the store's history is gone".

--- a/include/plantainhaven/policy/placing/table_replica.h
+++ b/include/plantainhaven/policy/placing/table_replica.h
@@ -51,7 +51,8 @@
   UpdateEffect Apply(const TableUpdate& aUpdate);
   // Starts anew in a later era. The rows are kept until a whole table replaces them.
   void EnterEra(std::uint64_t aEra);
-  // The history after this version is gone from the store: only a whole table can follow.
+  // The history after this version is gone from the store: only a whole table can follow, which
+  // must not be older.
   void Discard() { this->isWhole = false; }
 
   // What to pass on to other VMs after an answer of the store. The message never claims a later
--- a/src/policy/placing/table_replica.cc
+++ b/src/policy/placing/table_replica.cc
@@ -22,7 +22,7 @@
     return UpdateEffect::kNewEra;
   }
   const bool isUsable = this->isWhole || aUpdate.isWhole;
-  if (aUpdate.era < this->era || !isUsable || (this->isWhole && aUpdate.version < this->version)) {
+  if (aUpdate.era < this->era || !isUsable || aUpdate.version < this->version) {
     return UpdateEffect::kOlder;
   }
   if (this->isWhole && aUpdate.version == this->version) {
--- a/test/policy/placing/table_replica_test.cc
+++ b/test/policy/placing/table_replica_test.cc
@@ -98,6 +98,8 @@
   std::vector<TableUpdate> answers;
   // Messages of other VMs that haven't arrived yet.
   std::vector<TableUpdate> inbox;
+  // Era and version after the last step.
+  std::pair<std::uint64_t, std::uint64_t> reached{};
 };
 
 // Followers that read the store for one another, with messages that arrive in any order, more than
@@ -176,6 +178,8 @@
       this->Any() = Follower();
     } else if (this->Draw(4) == 0) {
       this->store.Rewind(this->Draw(3));
+    } else if (this->Draw(2) == 0) {
+      this->Any().replica.Discard();
     }
   }
   void BeginRead(Follower& aFollower)
@@ -227,13 +231,16 @@
       aFollower.replica.EnterEra(update.era);
     }
   }
-  void Check() const
+  void Check()
   {
-    for (const Follower& follower : this->followers) {
+    for (Follower& follower : this->followers) {
       const TableReplica& replica = follower.replica;
       if (!replica.IsWhole()) {
         continue;
       }
+      const std::pair now(replica.Era(), replica.Version());
+      REQUIRE(now >= follower.reached);
+      follower.reached = now;
       Table held;
       for (const auto& [key, row] : replica.Rows()) {
         held[key] = row.value;
@@ -277,6 +284,18 @@
   CHECK(other.Rows().size() == 1);
 }
 
+// The store's history is gone, and another VM's copy of an older version arrives.
+TEST_CASE("A replica doesn't go back to an older copy after the store's history is gone")
+{
+  TableReplica replica;
+  replica.EnterEra(1);
+  REQUIRE(replica.Apply({ .era = 1, .version = 9, .isWhole = true }) == UpdateEffect::kApplied);
+  replica.Discard();
+  CHECK(replica.Apply({ .era = 1, .version = 8, .isWhole = true }) == UpdateEffect::kOlder);
+  CHECK_FALSE(replica.IsWhole());
+  CHECK(replica.Apply({ .era = 1, .version = 9, .isWhole = true }) == UpdateEffect::kApplied);
+}
+
 TEST_CASE("Effects of updates on a replica")
 {
   struct Case
