Count the grace period from when the stop signal may have been sent

The platform excuses that for requests sent in the first 3 s, and a busy or suspended VM takes later ones for earlier ones. Cause: all times of the stop counted from when the process saw the signal. Why this works: StopSchedule holds the times of a stop and takes two times of the signal: the last check for signals that found none, and the time it was seen. Accepting and the end count from the first; requests at which a server is at work are broken off no earlier than five sixths of the grace period after the second.

--- a/src/edge/edge_program.cc
+++ b/src/edge/edge_program.cc
@@ -79,6 +79,8 @@
   Context controlContext;
   Context trafficContext;
   asio::signal_set signals;
+  // A signal that was sent before this time has been handled.
+  BootTime checkedSignalsAt = BootClock::Now();
   std::unique_ptr<platform::StoreClient> operatorClient;
   std::unique_ptr<platform::StoreClient> serverClient;
   std::unique_ptr<platform::StoreClient> fleetClient;
@@ -242,8 +244,13 @@
 Edge::RunPeriodically()
 {
   asio::steady_timer timer(this->controlContext);
+  BootTime lastRun = BootClock::Now();
+  BootTime runBefore = lastRun;
   while (true) {
     co_await Sleep(timer, kPublishInterval);
+    // The context polls the signals between two runs of this loop, and may handle one after the
+    // run that follows the poll.
+    this->checkedSignalsAt = std::exchange(runBefore, std::exchange(lastRun, BootClock::Now()));
     this->serverRows.PublishChanges();
     this->operatorFollower.RetryCopy();
   }
@@ -308,8 +315,10 @@
     this->ReloadSettings();
     return;
   }
-  this->OnTraffic([this] {
-    this->traffic.BeginStop([this] {
+  const placing::StopSignal signal{ .earliest = this->checkedSignalsAt,
+                                    .seenAt = BootClock::Now() };
+  this->OnTraffic([this, signal] {
+    this->traffic.BeginStop(signal, [this] {
       this->trafficContext.stop();
       this->controlContext.stop();
     });
--- a/src/edge/relay_run.cc
+++ b/src/edge/relay_run.cc
@@ -40,7 +40,7 @@
 bool
 RelayRun::KeepsAlive() const
 {
-  return this->request.keep_alive() && !this->state.isStopping && this->body.IsWhole();
+  return this->request.keep_alive() && !this->state.IsLeaving() && this->body.IsWhole();
 }
 
 std::chrono::milliseconds
@@ -63,7 +63,7 @@
 const char*
 RelayRun::RejectionReason() const
 {
-  if (this->state.isClosing) {
+  if (this->state.IsRejecting()) {
     return "stopping";
   }
   if (this->state.relayedRequests > kMaxRelayedRequests) {
@@ -123,7 +123,7 @@
   ServerAttempt attempt(this->state, aServer, ServerWay{});
   Exchange& exchange = attempt.HttpExchange();
   this->watch.OnDisconnect([&exchange] { exchange.Cancel(); });
-  const EndNotice ending(this->state, [&exchange] {
+  const StopNotice ending(this->state, StopPhase::kEnding, [&exchange] {
     if (!exchange.IsAnswered()) {
       exchange.Cancel();
     }
@@ -152,7 +152,7 @@
   }
   const bool hasResponse =
     exchange.IsAnswered() && (exchange.IsWhole() || exchange.Outcome() == SendOutcome::kServed);
-  if (!this->state.isEnding && exchange.Outcome() == SendOutcome::kBroken &&
+  if (!this->state.IsEnding() && exchange.Outcome() == SendOutcome::kBroken &&
       !exchange.IsAnswered()) {
     const auto digest =
       DigestOf(this->request, ToStd(this->request[platform::kAccountHeader]), this->body.First());
--- a/src/edge/request_run.cc
+++ b/src/edge/request_run.cc
@@ -59,7 +59,7 @@
 bool
 RequestRun::KeepsAlive() const
 {
-  return this->request.keep_alive() && !this->state.isStopping && this->body.IsWhole();
+  return this->request.keep_alive() && !this->state.IsLeaving() && this->body.IsWhole();
 }
 
 CallerResponse
@@ -75,7 +75,7 @@
 RequestRun::Admit()
 {
   this->routing = this->state.dispatcher.CurrentRouting();
-  if (this->state.isClosing) {
+  if (this->state.IsRejecting()) {
     this->Refuse(503, "stopping", kStoppingRetryAfter);
     return false;
   }
@@ -166,7 +166,7 @@
     RecordAnswer(this->state, this->Digest());
   }
   // A relaying VM records what it has seen itself.
-  if (!this->state.isEnding && !aAttempt.IsRelayed() && !aAttempt.IsWayLost() &&
+  if (!this->state.IsEnding() && !aAttempt.IsRelayed() && !aAttempt.IsWayLost() &&
       exchange.Outcome() == SendOutcome::kBroken && !exchange.IsAnswered()) {
     co_await RecordBrokenAttempt(this->state, this->requestId, this->Digest(), aServer);
   }
@@ -281,7 +281,7 @@
     slot.End(SendOutcome::kAbandoned);
     co_return Next::kDone;
   }
-  if (this->state.isEnding) {
+  if (this->state.IsEnding()) {
     slot.End(SendOutcome::kAbandoned);
     this->Refuse(this->mayHaveExecuted ? 502 : 503, "stopping", kStoppingRetryAfter);
     co_return Next::kDone;
@@ -303,7 +303,7 @@
   ServerAttempt attempt(this->state, aServer, std::move(way));
   Exchange& exchange = attempt.HttpExchange();
   this->watch.OnDisconnect([&exchange] { exchange.Cancel(); });
-  const EndNotice ending(this->state, [&exchange] {
+  const StopNotice ending(this->state, StopPhase::kEnding, [&exchange] {
     if (!exchange.IsAnswered()) {
       exchange.Cancel();
     }
@@ -445,7 +445,7 @@
 {
   const bool hasTime =
     this->TimeLeft() > this->state.dispatcher.MeanResponseTime(this->dispatchRequest.service) / 4;
-  return hasTime && this->attempts < this->route->maxAttempts && !this->state.isEnding &&
+  return hasTime && this->attempts < this->route->maxAttempts && !this->state.IsEnding() &&
          this->Verdict() == placing::CrashVerdict::kUnsuspected &&
          this->state.dispatcher.TryAcquireRetry(this->dispatchRequest.service);
 }
--- a/src/edge/traffic.cc
+++ b/src/edge/traffic.cc
@@ -27,15 +27,9 @@
 // leaves.
 constexpr std::chrono::milliseconds kLookupValidity{ 2000 };
 constexpr std::size_t kMaxAddresses = 64;
-// Callers with an older look-up still connect for this long after the stop signal.
-constexpr std::chrono::milliseconds kStopAcceptTime{ 3000 };
 // A new VM has no tokens until it has received reports of the others and isn't ready before
 // that. It becomes ready after this time even if they stay silent.
 constexpr std::chrono::milliseconds kMaxTokenWait{ 1500 };
-// Time reserved at the end of the grace period to answer what is still open, close connections and
-// exit, and the part of it for the answers.
-constexpr std::chrono::milliseconds kStopMargin{ 600 };
-constexpr std::chrono::milliseconds kStopAnswerTime{ 250 };
 constexpr std::chrono::milliseconds kStopPoll{ 20 };
 // A VM learns of a newer configuration after its acknowledgement; this fraction of the agreed time
 // remains until it stops serving by its own.
@@ -89,7 +83,7 @@
 bool
 Traffic::IsReady() const
 {
-  if (!this->dispatcher.IsReady() || this->state.isStopping ||
+  if (!this->dispatcher.IsReady() || this->state.IsLeaving() ||
       this->state.isConfigurationOutdated) {
     return false;
   }
@@ -250,7 +244,7 @@
   this->wasReady = this->IsReady();
   VmReport report;
   report.set_ready(this->wasReady);
-  report.set_leaving(this->state.isStopping);
+  report.set_leaving(this->state.IsLeaving());
   this->dispatcher.FillReport(report);
   FillCrashes(this->crashes, report);
   this->reportedLostDomains = this->paths.LostDomains();
@@ -292,7 +286,7 @@
   std::ostringstream text;
   const RoutingPtr& routing = this->dispatcher.CurrentRouting();
   text << "vm name=" << this->settings.vm().name() << " ready=" << this->IsReady()
-       << " stopping=" << this->state.isStopping << " open_requests=" << this->state.openRequests
+       << " stopping=" << this->state.IsLeaving() << " open_requests=" << this->state.openRequests
        << "\n";
   text << "configuration version=" << (routing == nullptr ? 0 : routing->version) << "\n";
   for (const PlacingPeer& sender : this->fleet.senders) {
@@ -370,13 +364,17 @@
 }
 
 void
-Traffic::BeginStop(std::function<void()> aOnStopped)
+Traffic::BeginStop(const placing::StopSignal& aSignal, std::function<void()> aOnStopped)
 {
-  if (this->state.isStopping) {
+  if (this->state.IsLeaving()) {
     return;
   }
-  this->state.isStopping = true;
-  Log(LogLevel::kInfo, "stop_begun", { { "open_requests", this->state.openRequests } });
+  this->state.stopSchedule.emplace(aSignal, this->bounds.stopGrace);
+  this->EnterStopPhase(StopPhase::kLeaving);
+  Log(LogLevel::kInfo,
+      "stop_begun",
+      { { "open_requests", this->state.openRequests },
+        { "seen_late_ms_at_most", ToMilliseconds(aSignal.seenAt - aSignal.earliest).count() } });
   VmReport report;
   report.set_leaving(true);
   this->publishReport(std::move(report));
@@ -384,34 +382,41 @@
 }
 
 void
-Traffic::EndRequests()
+Traffic::EnterStopPhase(StopPhase aPhase)
 {
-  Log(LogLevel::kInfo, "stop_ends_requests", { { "open_requests", this->state.openRequests } });
-  this->state.isEnding = true;
-  this->dispatcher.RejectAll();
+  this->state.stopPhase = aPhase;
   // Each action lets the coroutine of a request go on later, so none is removed meanwhile.
-  for (const auto& action : this->state.onEnding) {
-    action();
+  const auto [first, last] = this->state.stopActions.equal_range(aPhase);
+  for (auto action = first; action != last; ++action) {
+    action->second();
+  }
+}
+
+Task<void>
+Traffic::AwaitRequests(BootTime aUntil)
+{
+  asio::steady_timer timer(this->context);
+  while (this->state.openRequests > 0 && BootClock::Now() < aUntil) {
+    co_await Sleep(timer, kStopPoll);
   }
 }
 
 Task<void>
 Traffic::RunStop(std::function<void()> aOnStopped)
 {
-  const BootTime startedAt = BootClock::Now();
-  const BootTime endAt = startedAt + this->bounds.stopGrace - kStopMargin;
+  const placing::StopSchedule schedule = *this->state.stopSchedule;
   asio::steady_timer timer(this->context);
-  co_await Sleep(timer, std::min(kStopAcceptTime, this->bounds.stopGrace / 2));
-  this->state.isClosing = true;
-  while (this->state.openRequests > 0 && BootClock::Now() < endAt) {
+  while (BootClock::Now() < schedule.AcceptUntil()) {
     co_await Sleep(timer, kStopPoll);
   }
+  this->EnterStopPhase(StopPhase::kRejecting);
+  co_await this->AwaitRequests(schedule.EndAt());
   if (this->state.openRequests > 0) {
-    this->EndRequests();
-  }
-  while (this->state.openRequests > 0 && BootClock::Now() < endAt + kStopAnswerTime) {
-    co_await Sleep(timer, kStopPoll);
+    Log(LogLevel::kInfo, "stop_ends_requests", { { "open_requests", this->state.openRequests } });
+    this->dispatcher.RejectAll();
+    this->EnterStopPhase(StopPhase::kEnding);
   }
+  co_await this->AwaitRequests(schedule.ExitAt());
   Log(LogLevel::kInfo, "stopped", { { "open_requests", this->state.openRequests } });
   aOnStopped();
 }
--- a/src/edge/traffic.h
+++ b/src/edge/traffic.h
@@ -63,7 +63,7 @@
   void Start();
   // Begins an orderly stop: open requests complete, new ones are refused after a short time, and
   // `aOnStopped` is called within the platform's grace period.
-  void BeginStop(std::function<void()> aOnStopped);
+  void BeginStop(const placing::StopSignal& aSignal, std::function<void()> aOnStopped);
 
   void SetRouting(RoutingPtr aRouting);
   void SetBounds(const platform::Bounds& aBounds);
@@ -93,8 +93,9 @@
   // Stops serving while another VM has had a newer configuration in force for too long.
   void CheckConfigurationAge();
   Task<void> RunStop(std::function<void()> aOnStopped);
-  // Answers all requests that still wait for a slot or for a server's response.
-  void EndRequests();
+  void EnterStopPhase(StopPhase aPhase);
+  // Waits until no request is open, or until the time.
+  Task<void> AwaitRequests(BootTime aUntil);
   SimpleResponse AnswerLookup(std::string_view aTarget) const;
   bool IsReady() const;
 
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -7,15 +7,28 @@
 #include "edge/upstream_pool.h"
 #include "plantainhaven/common/metrics.h"
 #include "plantainhaven/policy/placing/crash_ledger.h"
+#include "plantainhaven/policy/placing/stop_schedule.h"
 
-#include <chrono>
 #include <functional>
-#include <list>
+#include <map>
+#include <optional>
 #include <random>
 #include <utility>
 
 namespace plantainhaven::edge {
 
+// How far a planned stop has come. Each phase goes on with what the one before it began.
+enum class StopPhase
+{
+  kServing,
+  // Responses tell callers to close their connections, and other VMs send no callers any more.
+  kLeaving,
+  // New requests are rejected.
+  kRejecting,
+  // Requests are answered at once if no response of a server has begun to arrive.
+  kEnding,
+};
+
 // State that all requests on the traffic thread share.
 struct TrafficState
 {
@@ -29,14 +42,11 @@
   placing::CrashLedger& crashes;
   Metrics& metrics;
   std::mt19937_64& random;
-  // SIGTERM was received: responses tell callers to close their connections.
-  bool isStopping = false;
-  // The process is about to exit: new requests are rejected.
-  bool isClosing = false;
-  // The grace period ends: requests are answered at once, whatever they wait for.
-  bool isEnding = false;
-  // Called when the grace period ends; see EndNotice.
-  std::list<std::function<void()>> onEnding{};
+  StopPhase stopPhase = StopPhase::kServing;
+  // Set when the VM was told to stop.
+  std::optional<placing::StopSchedule> stopSchedule{};
+  // What to call when a phase begins; see StopNotice.
+  std::multimap<StopPhase, std::function<void()>> stopActions{};
   // Other VMs have had a newer configuration in force for so long that this one's must not be used
   // any more.
   bool isConfigurationOutdated = false;
@@ -44,24 +54,29 @@
   int openRequests = 0;
   // Requests of other VMs.
   int relayedRequests = 0;
+
+  bool IsLeaving() const { return this->stopPhase >= StopPhase::kLeaving; }
+  bool IsRejecting() const { return this->stopPhase >= StopPhase::kRejecting; }
+  bool IsEnding() const { return this->stopPhase >= StopPhase::kEnding; }
 };
 
-// Calls an action when the grace period ends, unless it is destroyed before.
-class EndNotice
+// Calls an action when a phase of a planned stop begins, unless it is destroyed before. The action
+// must not destroy a notice.
+class StopNotice
 {
 public:
-  EndNotice(TrafficState& aState, std::function<void()> aAction)
+  StopNotice(TrafficState& aState, StopPhase aPhase, std::function<void()> aAction)
     : state(aState)
-    , position(aState.onEnding.insert(aState.onEnding.end(), std::move(aAction)))
+    , position(aState.stopActions.emplace(aPhase, std::move(aAction)))
   {
   }
-  ~EndNotice() { this->state.onEnding.erase(this->position); }
-  EndNotice(const EndNotice&) = delete;
-  EndNotice& operator=(const EndNotice&) = delete;
+  ~StopNotice() { this->state.stopActions.erase(this->position); }
+  StopNotice(const StopNotice&) = delete;
+  StopNotice& operator=(const StopNotice&) = delete;
 
 private:
   TrafficState& state;
-  std::list<std::function<void()>>::iterator position;
+  std::multimap<StopPhase, std::function<void()>>::iterator position;
 };
 
 } // namespace plantainhaven::edge
--- a/test/edge/one_vm.h
+++ b/test/edge/one_vm.h
@@ -287,14 +287,24 @@
   {
     this->RunOnTraffic([&] { this->traffic->SetRouting(aRouting); });
   }
-  // Begins an orderly stop as SIGTERM does, and stops the VM's thread when it is complete.
-  void Stop(std::chrono::milliseconds aGrace)
+  // Begins an orderly stop as SIGTERM does, and stops the VM's thread when it is complete. The VM
+  // can't exclude that the signal was sent earlier by `aSeenLate`.
+  void Stop(std::chrono::milliseconds aGrace,
+            std::chrono::milliseconds aSeenLate = std::chrono::milliseconds(0))
+  {
+    this->SetGrace(aGrace);
+    this->RunOnTraffic([&] {
+      const BootTime now = BootClock::Now();
+      this->traffic->BeginStop({ now - aSeenLate, now }, [this] { this->context.stop(); });
+    });
+  }
+  // Changes the settings as SIGHUP does.
+  void SetGrace(std::chrono::milliseconds aGrace)
   {
     this->RunOnTraffic([&] {
       platform::Bounds bounds;
       bounds.stopGrace = aGrace;
       this->traffic->SetBounds(bounds);
-      this->traffic->BeginStop([this] { this->context.stop(); });
     });
   }
   // Waits until the VM has stopped.
--- a/test/edge/stop_test.cc
+++ b/test/edge/stop_test.cc
@@ -2,9 +2,13 @@
 
 #include <algorithm>
 #include <atomic>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <future>
 #include <memory>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -14,6 +18,37 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kGrace{ 1500 };
+// Long enough for all phases of the stop to lie apart.
+constexpr milliseconds kLongGrace{ 4000 };
+
+// Two routes of a service whose requests may take long.
+RoutingPtr
+MakeLongRouting(milliseconds aObjective = milliseconds(300))
+{
+  auto routing = std::make_shared<Routing>();
+  for (const bool isIdempotent : { true, false }) {
+    Route route;
+    route.name = isIdempotent ? "read" : "book";
+    route.prefix = "/" + route.name + "/";
+    route.isIdempotent = isIdempotent;
+    route.timeout = milliseconds(8000);
+    route.latencyObjective = aObjective;
+    route.maxAttempts = 2;
+    route.targets = { { "portal", 1.0 } };
+    routing->AddRoute("shop.example", route);
+  }
+  routing->version = 2;
+  return routing;
+}
+
+// Waits until the test lets servers answer, for five seconds at most.
+void
+AwaitRelease(const std::atomic<bool>& aIsReleased)
+{
+  for (int i = 0; i < 1000 && !aIsReleased; ++i) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+}
 
 // A server runs four requests; the others wait for a slot.
 TEST_CASE("Requests that are open at the end of a planned stop are answered")
@@ -30,24 +65,9 @@
     CAPTURE(entry.name);
     const auto isReleased = std::make_shared<std::atomic<bool>>(false);
     auto vm = std::make_unique<OneVm>();
-    auto routing = std::make_shared<Routing>();
-    for (const bool isIdempotent : { true, false }) {
-      Route route;
-      route.name = isIdempotent ? "read" : "book";
-      route.prefix = "/" + route.name + "/";
-      route.isIdempotent = isIdempotent;
-      route.timeout = milliseconds(8000);
-      route.latencyObjective = milliseconds(6000);
-      route.maxAttempts = 2;
-      route.targets = { { "portal", 1.0 } };
-      routing->AddRoute("shop.example", route);
-    }
-    routing->version = 2;
-    vm->SetRouting(routing);
+    vm->SetRouting(MakeLongRouting(milliseconds(6000)));
     vm->SetServerHandler([isReleased](const FakeRequest& aRequest) {
-      for (int i = 0; i < 1000 && !*isReleased; ++i) {
-        std::this_thread::sleep_for(milliseconds(5));
-      }
+      AwaitRelease(*isReleased);
       return Served(aRequest);
     });
     std::vector<unsigned> statuses(12);
@@ -77,5 +97,57 @@
   }
 }
 
+// The signal was sent while the process stood still; the platform counts from its sending.
+TEST_CASE("Requests are refused from half of the grace period after the signal may have been sent")
+{
+  struct Case
+  {
+    milliseconds seenLate;
+    unsigned status;
+  };
+  const Case cases[] = { { milliseconds(0), 200 }, { kGrace / 2, 503 } };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.seenLate.count());
+    OneVm vm;
+    vm.SetServerHandler([](const FakeRequest& aRequest) {
+      std::this_thread::sleep_for(milliseconds(aRequest.target().starts_with("/read") ? 250 : 1));
+      return Served(aRequest);
+    });
+    REQUIRE(vm.SendRequest(http::verb::post, "/book/x").result_int() == 200);
+    // Keeps the VM from ending at once.
+    auto open = std::async(std::launch::async, [&vm] {
+      return vm.SendRequest(http::verb::get, "/read/x").result_int();
+    });
+    std::this_thread::sleep_for(milliseconds(50));
+    vm.Stop(kGrace, entry.seenLate);
+    std::this_thread::sleep_for(milliseconds(50));
+    CHECK(vm.SendRequest(http::verb::post, "/book/x").result_int() == entry.status);
+    CHECK(open.get() == 200);
+    vm.AwaitStop();
+  }
+}
+
+TEST_CASE("Changed settings don't move the end of a planned stop that has begun")
+{
+  const auto isReleased = std::make_shared<std::atomic<bool>>(false);
+  OneVm vm;
+  vm.SetRouting(MakeLongRouting());
+  vm.SetServerHandler([isReleased](const FakeRequest& aRequest) {
+    AwaitRelease(*isReleased);
+    return Served(aRequest);
+  });
+  auto status = std::async(std::launch::async, [&vm] {
+    return vm.SendRequest(http::verb::post, "/book/x", "key-1", "8000").result_int();
+  });
+  while (vm.ReceivedCount() == 0) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  vm.Stop(kGrace);
+  vm.SetGrace(milliseconds(60000));
+  CHECK(status.get() == 502);
+  *isReleased = true;
+  vm.AwaitStop();
+}
+
 } // namespace
 } // namespace plantainhaven::edge
