Refuse requests at once that servers can't answer before a planned stop ends

What callers saw: requests of 5.6 s of work that came 3 s after a SIGTERM were passed on and answered with 502 "may have run" 2.4 s later, 47 of 47 (users' script), among them ones that can't be repeated; they had cost a server's time, and a 503 at once would have sent them to another VM. Cause: a stopping VM accepted what came in the first 3 s, whatever it would take. Why this works: UsualTimes keeps, by route, the mean response time of servers plus twice its deviation; until a route has been answered, its latency objective stands in. While the VM stops, a request is refused with 503 and a Retry-After when its usual time reaches beyond the end: as it comes, while it waits for a slot, before a retry, and when it comes from a VM that relays.

--- a/src/edge/dispatcher.cc
+++ b/src/edge/dispatcher.cc
@@ -200,10 +200,10 @@
 Task<DispatchResult>
 Dispatcher::Acquire(DispatchRequest aRequest, std::uint64_t& aWaiter)
 {
-  if (this->isStopping) {
+  const BootTime now = BootClock::Now();
+  if (this->IsTooLateFor(aRequest, now)) {
     co_return kStoppingFailure;
   }
-  const BootTime now = BootClock::Now();
   ServiceState& state = this->StateOf(aRequest.service);
   this->placement.OnRequest(aRequest.object, now);
   const Placing placing = this->Choose(aRequest, now);
@@ -250,12 +250,24 @@
   this->CompleteWait(aWaiter, DispatchFailure{ DispatchFailureReason::kCallerDisconnected, {} });
 }
 
+bool
+Dispatcher::IsTooLateFor(const DispatchRequest& aRequest, BootTime aNow) const
+{
+  return this->stopSchedule && !this->stopSchedule->Fits(aRequest.usualTime, aNow);
+}
+
 void
-Dispatcher::RejectAll()
+Dispatcher::RejectTooLate()
 {
-  this->isStopping = true;
-  while (!this->waiting.empty()) {
-    this->CompleteWait(this->waiting.begin()->first, kStoppingFailure);
+  const BootTime now = BootClock::Now();
+  std::vector<std::uint64_t> ids;
+  for (const auto& [id, waiter] : this->waiting) {
+    if (this->IsTooLateFor(waiter->request, now)) {
+      ids.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : ids) {
+    this->CompleteWait(id, kStoppingFailure);
   }
 }
 
@@ -433,6 +445,9 @@
 void
 Dispatcher::Tick()
 {
+  if (this->stopSchedule) {
+    this->RejectTooLate();
+  }
   for (auto& [name, state] : this->services) {
     this->DispatchWaiters(state, 0);
     this->RejectExpired(name, state);
--- a/src/edge/dispatcher.h
+++ b/src/edge/dispatcher.h
@@ -6,6 +6,7 @@
 #include "plantainhaven/policy/placing/placement.h"
 #include "plantainhaven/policy/placing/retry_token_bucket.h"
 #include "plantainhaven/policy/placing/routing.h"
+#include "plantainhaven/policy/placing/stop_schedule.h"
 #include "plantainhaven/policy/placing/wait_queue.h"
 
 #include <cstdint>
@@ -49,6 +50,8 @@
   BootTime objectiveAt{};
   // The caller doesn't wait for the response after this time.
   BootTime deadlineAt{};
+  // How long a server is likely to take.
+  std::chrono::milliseconds usualTime{ 0 };
 };
 
 enum class DispatchFailureReason
@@ -57,7 +60,7 @@
   kNoCapacity,         // No slot is expected to become free in time.
   kServerLimit,        // The rate limits of all eligible servers are used up.
   kCallerDisconnected, // The caller closed its connection while the request was queued.
-  kStopping,           // The process is about to end.
+  kStopping,           // The process is about to end, before a server would have answered.
 };
 
 // The reason's name in metrics, logs and response bodies.
@@ -104,8 +107,9 @@
   Task<DispatchResult> Acquire(DispatchRequest aRequest, std::uint64_t& aWaiter);
   // Removes a request from the queue after its caller has disconnected.
   void CancelWait(std::uint64_t aWaiter);
-  // Rejects all queued requests, and those that come, because the process is about to end.
-  void RejectAll();
+  // The process ends at the schedule's time: rejects requests that servers won't answer before it,
+  // those that are queued and those that come.
+  void SetStopSchedule(const placing::StopSchedule& aSchedule) { this->stopSchedule = aSchedule; }
   void End(const BackendServer& aServer, SendOutcome aOutcome, std::chrono::milliseconds aTook);
   // Whether the server is known and neither draining nor in an avoided failure domain.
   bool AcceptsRequests(const std::string& aServer) const
@@ -210,6 +214,9 @@
   {
     return placing::RetryBurst(this->options.retrySlack, this->fleetSize);
   }
+  // Whether the process ends before a server would have answered the request.
+  bool IsTooLateFor(const DispatchRequest& aRequest, BootTime aNow) const;
+  void RejectTooLate();
   void RejectExpired(const std::string& aService, ServiceState& aState);
   void CompleteWait(std::uint64_t aWaiter, DispatchResult aResult);
   static void LogPlan(const std::string& aService,
@@ -228,7 +235,7 @@
   // Moving average of the bytes in a response, by route.
   std::map<std::string, double> responseBytes;
   std::uint64_t nextWaiter = 1;
-  bool isStopping = false;
+  std::optional<placing::StopSchedule> stopSchedule;
   bool hasLimitNews = false;
   placing::LimitRotation limitRotation;
   // VMs among which the fleet's retry slack is divided.
--- a/src/edge/relay_run.cc
+++ b/src/edge/relay_run.cc
@@ -60,12 +60,28 @@
              .relayOutcome = ToString(aOutcome) } };
 }
 
+bool
+RelayRun::FitsBeforeStop() const
+{
+  const RoutingPtr& routing = this->state.dispatcher.CurrentRouting();
+  const auto target = ToStd(this->request.target());
+  const Route* const route =
+    routing == nullptr ? nullptr
+                       : routing->FindRoute(NormalizeHost(this->request[http::field::host]),
+                                            std::string(target.substr(0, target.find('?'))));
+  // The other VM's configuration may name the route while this one's doesn't.
+  return route == nullptr || this->state.FitsBeforeStop(this->state.UsualTime(*route));
+}
+
 const char*
 RelayRun::RejectionReason() const
 {
   if (this->state.IsRejecting()) {
     return "stopping";
   }
+  if (!this->FitsBeforeStop()) {
+    return "stopping";
+  }
   if (this->state.relayedRequests > kMaxRelayedRequests) {
     return "too_many";
   }
--- a/src/edge/relay_run.h
+++ b/src/edge/relay_run.h
@@ -33,6 +33,8 @@
   Task<bool> Run();
 
 private:
+  // Whether a server is likely to answer the request before this VM has stopped.
+  bool FitsBeforeStop() const;
   // The reason to reject the request without an attempt; null when there is none.
   const char* RejectionReason() const;
   // Responds that nothing was sent.
--- a/src/edge/request_run.cc
+++ b/src/edge/request_run.cc
@@ -102,6 +102,10 @@
     this->Refuse(401, "unknown_key", {});
     return false;
   }
+  if (!this->state.FitsBeforeStop(this->state.UsualTime(*this->route))) {
+    this->Refuse(503, "stopping", kStoppingRetryAfter);
+    return false;
+  }
   return true;
 }
 
@@ -212,6 +216,7 @@
   }
   this->dispatchRequest.objectiveAt = this->arrivedAt + this->route->latencyObjective;
   this->dispatchRequest.deadlineAt = this->deadlineAt;
+  this->dispatchRequest.usualTime = this->state.UsualTime(*this->route);
 }
 
 std::chrono::milliseconds
@@ -377,6 +382,9 @@
     exchange.Finish();
     co_return this->AfterNotSent(aServer, aAttempt);
   }
+  if (exchange.Outcome() == SendOutcome::kTimeout) {
+    this->RecordTime(aSlot);
+  }
   const Next next = this->AfterFailure(exchange);
   aSlot.End(aAttempt.Evidence());
   // An error response of the server itself is forwarded when the request can't be retried.
@@ -399,15 +407,24 @@
     aSlot.End(SendOutcome::kServed);
     this->LogServed(aServer, aAttempt, aSlot.StartedAt());
     this->state.dispatcher.OnResponseBytes(this->route->name, exchange.BodyBytes());
+    this->RecordTime(aSlot);
     co_return co_await this->ForwardResponse(exchange);
   }
   const Next next = co_await this->ForwardResponse(exchange);
+  this->RecordTime(aSlot);
   const bool hasDisconnected = this->watch.HasDisconnected();
   this->watch.OnDisconnect(nullptr);
   aSlot.End(hasDisconnected ? SendOutcome::kAbandoned : aAttempt.Evidence());
   co_return next;
 }
 
+void
+RequestRun::RecordTime(const ReservedSlot& aSlot)
+{
+  const auto took = ToMilliseconds(BootClock::Now() - aSlot.StartedAt());
+  this->state.usualTimes.OnAnswered(this->route->name, took);
+}
+
 RequestRun::Next
 RequestRun::AfterNotSent(const BackendServer& aServer, const ServerAttempt& aAttempt)
 {
@@ -445,7 +462,8 @@
 {
   const bool hasTime =
     this->TimeLeft() > this->state.dispatcher.MeanResponseTime(this->dispatchRequest.service) / 4;
-  return hasTime && this->attempts < this->route->maxAttempts && !this->state.IsEnding() &&
+  return hasTime && this->attempts < this->route->maxAttempts &&
+         this->state.FitsBeforeStop(this->dispatchRequest.usualTime) &&
          this->Verdict() == placing::CrashVerdict::kUnsuspected &&
          this->state.dispatcher.TryAcquireRetry(this->dispatchRequest.service);
 }
--- a/src/edge/request_run.h
+++ b/src/edge/request_run.h
@@ -71,6 +71,8 @@
   Task<Next> AfterServed(const BackendServer& aServer,
                          ServerAttempt& aAttempt,
                          ReservedSlot& aSlot);
+  // Records how long the attempt has taken, for the usual time of its route.
+  void RecordTime(const ReservedSlot& aSlot);
   Next AfterFailure(const Exchange& aExchange);
   // Handles an attempt that sent nothing to the server.
   Next AfterNotSent(const BackendServer& aServer, const ServerAttempt& aAttempt);
--- a/src/edge/traffic.cc
+++ b/src/edge/traffic.cc
@@ -370,6 +370,7 @@
     return;
   }
   this->state.stopSchedule.emplace(aSignal, this->bounds.stopGrace);
+  this->dispatcher.SetStopSchedule(*this->state.stopSchedule);
   this->EnterStopPhase(StopPhase::kLeaving);
   Log(LogLevel::kInfo,
       "stop_begun",
@@ -413,7 +414,6 @@
   co_await this->AwaitRequests(schedule.EndAt());
   if (this->state.openRequests > 0) {
     Log(LogLevel::kInfo, "stop_ends_requests", { { "open_requests", this->state.openRequests } });
-    this->dispatcher.RejectAll();
     this->EnterStopPhase(StopPhase::kEnding);
   }
   co_await this->AwaitRequests(schedule.ExitAt());
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -8,6 +8,7 @@
 #include "plantainhaven/common/metrics.h"
 #include "plantainhaven/policy/placing/crash_ledger.h"
 #include "plantainhaven/policy/placing/stop_schedule.h"
+#include "plantainhaven/policy/placing/usual_times.h"
 
 #include <functional>
 #include <map>
@@ -45,6 +46,8 @@
   StopPhase stopPhase = StopPhase::kServing;
   // Set when the VM was told to stop.
   std::optional<placing::StopSchedule> stopSchedule{};
+  // How long servers take for the requests of a route.
+  placing::UsualTimes usualTimes{};
   // What to call when a phase begins; see StopNotice.
   std::multimap<StopPhase, std::function<void()>> stopActions{};
   // Other VMs have had a newer configuration in force for so long that this one's must not be used
@@ -58,6 +61,16 @@
   bool IsLeaving() const { return this->stopPhase >= StopPhase::kLeaving; }
   bool IsRejecting() const { return this->stopPhase >= StopPhase::kRejecting; }
   bool IsEnding() const { return this->stopPhase >= StopPhase::kEnding; }
+  // How long a request of the route is likely to take at a server.
+  std::chrono::milliseconds UsualTime(const Route& aRoute) const
+  {
+    return this->usualTimes.Of(aRoute.name).value_or(aRoute.latencyObjective);
+  }
+  // Whether a server can be expected to answer a request that takes this time before the VM ends.
+  bool FitsBeforeStop(std::chrono::milliseconds aUsualTime) const
+  {
+    return !this->stopSchedule || this->stopSchedule->Fits(aUsualTime, BootClock::Now());
+  }
 };
 
 // Calls an action when a phase of a planned stop begins, unless it is destroyed before. The action
--- a/test/edge/stop_test.cc
+++ b/test/edge/stop_test.cc
@@ -97,6 +97,41 @@
   }
 }
 
+// Requests that come late in the grace period and are cut when it ends.
+TEST_CASE("Requests that servers can't answer before the end of a planned stop are refused at once")
+{
+  struct Case
+  {
+    const char* name;
+    // How long the server takes for the requests before the stop; none are sent if it is 0.
+    milliseconds work;
+    unsigned status;
+    std::size_t sent;
+  };
+  const Case cases[] = { { "usually longer than the time that is left", milliseconds(800), 503, 0 },
+                         { "usually shorter", milliseconds(10), 200, 1 },
+                         { "unknown, with a short objective", milliseconds(0), 200, 1 } };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.name);
+    OneVm vm;
+    vm.SetRouting(MakeLongRouting());
+    vm.SetServerHandler([&entry](const FakeRequest& aRequest) {
+      std::this_thread::sleep_for(entry.work);
+      return Served(aRequest);
+    });
+    if (entry.work.count() > 0) {
+      REQUIRE(vm.SendRequest(http::verb::post, "/book/x", "key-1", "8000").result_int() == 200);
+    }
+    const std::size_t before = vm.ReceivedCount();
+    vm.Stop(kGrace);
+    const ReceivedResponse answer = vm.SendRequest(http::verb::post, "/book/x", "key-1", "8000");
+    CHECK(answer.result_int() == entry.status);
+    CHECK((answer.find(http::field::retry_after) != answer.end()) == (entry.status == 503));
+    CHECK(vm.ReceivedCount() - before == entry.sent);
+    vm.AwaitStop();
+  }
+}
+
 // The signal was sent while the process stood still; the platform counts from its sending.
 TEST_CASE("Requests are refused from half of the grace period after the signal may have been sent")
 {
