Forward responses that are arriving when the grace period ends

A response whose head had arrived 0.6 s before the kill, and whose body was still arriving, was thrown away and replaced by a 502, though the server had finished. Cause: a response counted as begun only when it was buffered whole or to 256 KiB. Why this works: at the end only attempts without a head are answered in the server's place; the others have 0.25 s more, and are answered with 502 if nothing has been forwarded by then. Evidence: "A response that has begun to arrive when the grace period ends is forwarded".

--- a/src/edge/exchange.cc
+++ b/src/edge/exchange.cc
@@ -238,6 +238,7 @@
 Exchange::ReadResponse()
 {
   beast::error_code fault = co_await this->ReadHead();
+  this->hasHead = !fault;
   if (!fault) {
     fault = co_await this->ReadBody();
   }
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -80,7 +80,9 @@
   bool IsWhole() const { return this->parser->is_done(); }
   // Size of the whole body, or of its first part when the head states no length.
   std::uint64_t BodyBytes() const { return this->ContentLength().value_or(this->body.size()); }
-  // The response head was received.
+  // The response head was received; its body may still be arriving.
+  bool HasHead() const { return this->hasHead; }
+  // The response can be forwarded: its head was received, and its body as far as it is buffered.
   bool IsAnswered() const { return this->isAnswered; }
   std::optional<std::uint64_t> ContentLength() const;
   std::optional<ServerLoad> Load() const { return this->load; }
@@ -136,6 +138,7 @@
   // The request wasn't sent completely, so the connection isn't reused.
   bool isIncomplete = false;
   bool isCancelled = false;
+  bool hasHead = false;
   bool isAnswered = false;
   std::optional<ServerLoad> load;
   std::optional<LimitStatement> limit;
--- a/src/edge/relay_run.cc
+++ b/src/edge/relay_run.cc
@@ -139,11 +139,6 @@
   ServerAttempt attempt(this->state, aServer, ServerWay{});
   Exchange& exchange = attempt.HttpExchange();
   this->watch.OnDisconnect([&exchange] { exchange.Cancel(); });
-  const StopNotice ending(this->state, StopPhase::kEnding, [&exchange] {
-    if (!exchange.IsAnswered()) {
-      exchange.Cancel();
-    }
-  });
   // The other VM's request may not be idempotent, so the stricter limit applies to all.
   const bool isConnected = co_await attempt.Connect(kMaxIdleNonIdempotent, this->TimeLeft());
   this->watch.CheckNow();
--- a/src/edge/request_run.cc
+++ b/src/edge/request_run.cc
@@ -308,11 +308,6 @@
   ServerAttempt attempt(this->state, aServer, std::move(way));
   Exchange& exchange = attempt.HttpExchange();
   this->watch.OnDisconnect([&exchange] { exchange.Cancel(); });
-  const StopNotice ending(this->state, StopPhase::kEnding, [&exchange] {
-    if (!exchange.IsAnswered()) {
-      exchange.Cancel();
-    }
-  });
   const bool isConnected = co_await attempt.Connect(this->MaxIdle(aServer), left);
   this->watch.CheckNow();
   if (this->watch.HasDisconnected()) {
--- a/src/edge/server_attempt.cc
+++ b/src/edge/server_attempt.cc
@@ -21,6 +21,18 @@
   , exchange(aState.context,
              this->IsRelayed() ? aState.relayPool : aState.pool,
              this->IsRelayed() ? RelayedTarget(this->way.relay.endpoint) : DirectTarget(aServer))
+  , ending(aState,
+           StopPhase::kEnding,
+           [this] {
+             if (!this->exchange.HasHead()) {
+               this->exchange.Cancel();
+             }
+           })
+  , endingBuffered(aState, StopPhase::kEndingBuffered, [this] {
+    if (!this->exchange.IsAnswered()) {
+      this->exchange.Cancel();
+    }
+  })
 {
 }
 
--- a/src/edge/server_attempt.h
+++ b/src/edge/server_attempt.h
@@ -51,6 +51,8 @@
   BackendServer server;
   ServerWay way;
   Exchange exchange;
+  StopNotice ending;
+  StopNotice endingBuffered;
   bool isConnected = false;
   bool isWayLost = false;
 };
--- a/src/edge/traffic.cc
+++ b/src/edge/traffic.cc
@@ -416,6 +416,8 @@
     Log(LogLevel::kInfo, "stop_ends_requests", { { "open_requests", this->state.openRequests } });
     this->EnterStopPhase(StopPhase::kEnding);
   }
+  co_await this->AwaitRequests(schedule.EndBufferedAt());
+  this->EnterStopPhase(StopPhase::kEndingBuffered);
   co_await this->AwaitRequests(schedule.ExitAt());
   Log(LogLevel::kInfo, "stopped", { { "open_requests", this->state.openRequests } });
   aOnStopped();
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -28,6 +28,8 @@
   kRejecting,
   // Requests are answered at once if no response of a server has begun to arrive.
   kEnding,
+  // So are those of whose response nothing has been sent to the caller yet.
+  kEndingBuffered,
 };
 
 // State that all requests on the traffic thread share.
--- a/test/edge/stop_test.cc
+++ b/test/edge/stop_test.cc
@@ -50,6 +50,53 @@
   }
 }
 
+// A server for one connection that sends its response in two parts.
+class TwoPartServer
+{
+public:
+  TwoPartServer()
+    : acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 })
+    , thread([this] { this->Run(); })
+  {
+  }
+  ~TwoPartServer()
+  {
+    ::shutdown(this->acceptor.native_handle(), SHUT_RDWR);
+    this->thread.join();
+  }
+  TwoPartServer(const TwoPartServer&) = delete;
+  TwoPartServer& operator=(const TwoPartServer&) = delete;
+
+  std::uint16_t Port() const { return this->acceptor.local_endpoint().port(); }
+  // Sends the second part. Call it once.
+  void Finish() { this->finish.set_value(); }
+
+private:
+  void Run()
+  {
+    beast::error_code fault;
+    Tcp::socket socket(this->context);
+    this->acceptor.accept(socket, fault);
+    beast::flat_buffer buffer;
+    FakeRequest request;
+    if (!fault) {
+      http::read(socket, buffer, request, fault);
+    }
+    const std::string whole = Served(request).bytes;
+    const std::size_t half = whole.size() - 2;
+    if (!fault) {
+      asio::write(socket, asio::buffer(whole.substr(0, half)), fault);
+      this->finish.get_future().wait();
+      asio::write(socket, asio::buffer(whole.substr(half)), fault);
+    }
+  }
+
+  asio::io_context context;
+  Tcp::acceptor acceptor;
+  std::promise<void> finish;
+  std::thread thread;
+};
+
 // A server runs four requests; the others wait for a slot.
 TEST_CASE("Requests that are open at the end of a planned stop are answered")
 {
@@ -162,6 +209,39 @@
   }
 }
 
+// Requests without a head of a response are answered as the grace period ends; this one waits for
+// the last bytes of its response then.
+TEST_CASE("A response that has begun to arrive when the grace period ends is forwarded")
+{
+  TwoPartServer begun;
+  const auto isReleased = std::make_shared<std::atomic<bool>>(false);
+  FakeServer silent([isReleased](const FakeRequest& aRequest) {
+    AwaitRelease(*isReleased);
+    return Served(aRequest);
+  });
+  OneVm vm;
+  vm.SetRouting(MakeLongRouting());
+  vm.UseServerAt(begun.Port());
+  auto first = std::async(std::launch::async, [&vm] {
+    return vm.SendRequest(http::verb::post, "/book/x", "key-1", "8000").result_int();
+  });
+  std::this_thread::sleep_for(milliseconds(100));
+  vm.UseServerAt(silent.Port());
+  auto second = std::async(std::launch::async, [&vm] {
+    return vm.SendRequest(http::verb::post, "/book/x", "key-1", "8000").result_int();
+  });
+  while (silent.Arrived().empty()) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  vm.Stop(kLongGrace);
+  // Its end shows that the grace period ends.
+  CHECK(second.get() == 502);
+  begun.Finish();
+  CHECK(first.get() == 200);
+  *isReleased = true;
+  vm.AwaitStop();
+}
+
 TEST_CASE("Changed settings don't move the end of a planned stop that has begun")
 {
   const auto isReleased = std::make_shared<std::atomic<bool>>(false);
