Answer callers whose request bodies are still arriving during a planned stop

A VM with no other open request ended while a body was arriving, and the caller's connection closed without an answer. A body that was being passed on lost its connection at the end, too. Cause: a request counted as open only when its body was read to its end or to 64 KiB; and a read that the VM cancels itself was taken for a caller that has left. Why this works: a request counts as open from its head. When a stopping VM no longer accepts requests, one that isn't passed on yet is refused with 503; at the end one that is passed on in part is answered with 502. CallerBody::HasFailed() no longer means its own Cancel(), so that a caller is also answered when a server breaks off while it sends its body. Evidence: "Callers whose bodies are still arriving during a planned stop are answered", two cases.

--- a/src/edge/caller_body.h
+++ b/src/edge/caller_body.h
@@ -32,7 +32,7 @@
   // Reads the next part. Returns an empty string at the end of the body or after an error, which
   // Fault() returns.
   Task<std::string> ReadMore();
-  // Cancels the pending read when the rest of the body isn't needed.
+  // Cancels the pending read when the rest of the body isn't needed. The caller can be answered.
   void Cancel();
   // Reads and discards the rest of the body for a limited time, so that a connection reset doesn't
   // reach the caller before it has read its response.
@@ -42,9 +42,13 @@
   // Parts beyond First() were read and not kept, so the request can't be retried.
   bool IsConsumed() const { return this->isConsumed; }
   const beast::error_code& Fault() const { return this->fault; }
-  // Receiving the body failed before its end, and not because of the body limit. The caller usually
-  // has disconnected.
-  bool HasFailed() const { return this->fault && this->fault != http::error::body_limit; }
+  // Receiving the body failed before its end, and not because of the body limit or of Cancel(). The
+  // caller usually has disconnected.
+  bool HasFailed() const
+  {
+    return this->fault && !this->isCancelled && this->fault != http::error::body_limit;
+  }
+  bool IsCancelled() const { return this->isCancelled; }
 
   static constexpr std::size_t kMaxBufferedBytes = 64 << 10;
 
--- a/src/edge/caller_session.cc
+++ b/src/edge/caller_session.cc
@@ -100,6 +100,23 @@
   co_return co_await run.Run();
 }
 
+// Reads the body as far as it is buffered, unless new requests are rejected by then.
+Task<beast::error_code>
+ReadFirstOfBody(TrafficState& aState,
+                beast::tcp_stream& aStream,
+                const CallerRequest& aRequest,
+                CallerBody& aBody)
+{
+  if (aState.IsRejecting()) {
+    co_return beast::error_code();
+  }
+  const OpenRequest open(aState);
+  const StopNotice rejecting(aState, StopPhase::kRejecting, [&aBody] { aBody.Cancel(); });
+  co_await AnswerExpectation(aStream, aRequest);
+  co_await aBody.ReadFirst();
+  co_return aBody.IsCancelled() ? beast::error_code() : aBody.Fault();
+}
+
 // Serves one request. Returns false when the connection must be closed.
 Task<bool>
 ServeRequest(TrafficState& aState,
@@ -118,9 +135,7 @@
   co_await http::async_read_header(aStream, aBuffer, parser, Into(fault));
   CallerBody body(aStream, aBuffer, parser, limits.idleTimeout);
   if (!fault) {
-    co_await AnswerExpectation(aStream, parser.get());
-    co_await body.ReadFirst();
-    fault = body.Fault();
+    fault = co_await ReadFirstOfBody(aState, aStream, parser.get(), body);
   }
   bool isOpen = false;
   aStream.expires_never();
--- a/src/edge/relay_run.cc
+++ b/src/edge/relay_run.cc
@@ -22,18 +22,17 @@
                    CallerRequest& aRequest,
                    CallerBody& aBody)
   : state(aState)
+  , open(aState)
   , peer(aPeer)
   , watch(aWatch)
   , request(aRequest)
   , body(aBody)
 {
-  ++this->state.openRequests;
   ++this->state.relayedRequests;
 }
 
 RelayRun::~RelayRun()
 {
-  --this->state.openRequests;
   --this->state.relayedRequests;
 }
 
--- a/src/edge/relay_run.h
+++ b/src/edge/relay_run.h
@@ -52,6 +52,7 @@
   }
 
   TrafficState& state;
+  OpenRequest open;
   beast::tcp_stream& peer;
   CallerWatch& watch;
   CallerRequest& request;
--- a/src/edge/request_run.cc
+++ b/src/edge/request_run.cc
@@ -34,18 +34,13 @@
                        CallerRequest& aRequest,
                        CallerBody& aBody)
   : state(aState)
+  , open(aState)
   , caller(aCaller)
   , watch(aWatch)
   , request(aRequest)
   , body(aBody)
   , arrivedAt(BootClock::Now())
 {
-  ++this->state.openRequests;
-}
-
-RequestRun::~RequestRun()
-{
-  --this->state.openRequests;
 }
 
 void
--- a/src/edge/request_run.h
+++ b/src/edge/request_run.h
@@ -27,7 +27,6 @@
              CallerWatch& aWatch,
              CallerRequest& aRequest,
              CallerBody& aBody);
-  ~RequestRun();
   RequestRun(const RequestRun&) = delete;
   RequestRun& operator=(const RequestRun&) = delete;
 
@@ -97,6 +96,7 @@
   void LogServed(const BackendServer& aServer, ServerAttempt& aAttempt, BootTime aSentAt) const;
 
   TrafficState& state;
+  OpenRequest open;
   beast::tcp_stream& caller;
   CallerWatch& watch;
   CallerRequest& request;
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -75,6 +75,23 @@
   }
 };
 
+// Counts a request as open.
+class OpenRequest
+{
+public:
+  explicit OpenRequest(TrafficState& aState)
+    : state(aState)
+  {
+    ++this->state.openRequests;
+  }
+  ~OpenRequest() { --this->state.openRequests; }
+  OpenRequest(const OpenRequest&) = delete;
+  OpenRequest& operator=(const OpenRequest&) = delete;
+
+private:
+  TrafficState& state;
+};
+
 // Calls an action when a phase of a planned stop begins, unless it is destroyed before. The action
 // must not destroy a notice.
 class StopNotice
--- a/test/edge/request_body_test.cc
+++ b/test/edge/request_body_test.cc
@@ -1,5 +1,6 @@
 #include "edge/caller_body.h"
 #include "edge/one_vm.h"
+#include "edge/raw_caller.h"
 
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
@@ -15,56 +16,6 @@
 constexpr std::size_t kLarge = 300'000;
 constexpr std::size_t kTooLarge = 1'200'000;
 
-// A caller's connection that sends raw bytes.
-class RawCaller
-{
-public:
-  explicit RawCaller(std::uint16_t aPort)
-    : socket(context)
-  {
-    this->socket.connect({ asio::ip::make_address("127.0.0.1"), aPort });
-  }
-
-  void Head(const std::string& aPath, const std::string& aFields)
-  {
-    this->Write("POST " + aPath +
-                " HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Token key-1\r\n"
-                "X-Plantainhaven-Request-Id: raw-1\r\nX-Plantainhaven-Deadline: 1500\r\n" +
-                aFields + "\r\n");
-  }
-  void Write(const std::string& aBytes)
-  {
-    beast::error_code ignored;
-    asio::write(this->socket, asio::buffer(aBytes), ignored);
-  }
-  void WriteChunked(const std::string& aBody, std::size_t aChunk)
-  {
-    for (std::size_t at = 0; at < aBody.size(); at += aChunk) {
-      const std::string part = aBody.substr(at, aChunk);
-      char size[20];
-      std::snprintf(size, sizeof(size), "%zx\r\n", part.size());
-      this->Write(size + part + "\r\n");
-    }
-    this->Write("0\r\n\r\n");
-  }
-  ReceivedResponse Read()
-  {
-    ReceivedResponse answer;
-    beast::error_code fault;
-    http::read(this->socket, this->buffer, answer, fault);
-    if (fault) {
-      answer.result(0U);
-    }
-    return answer;
-  }
-  void Close() { this->socket.close(); }
-
-private:
-  asio::io_context context;
-  Tcp::socket socket;
-  beast::flat_buffer buffer;
-};
-
 std::string
 BodyOf(std::size_t aSize)
 {
--- a/test/edge/stop_test.cc
+++ b/test/edge/stop_test.cc
@@ -1,4 +1,5 @@
 #include "edge/one_vm.h"
+#include "edge/raw_caller.h"
 
 #include <algorithm>
 #include <atomic>
@@ -242,6 +243,31 @@
   vm.AwaitStop();
 }
 
+TEST_CASE("Callers whose bodies are still arriving during a planned stop are answered")
+{
+  struct Case
+  {
+    const char* name;
+    std::size_t sent;
+    std::size_t size;
+    unsigned status;
+  };
+  const Case cases[] = { { "not passed on yet", 3, 10, 503 },
+                         { "passed on in part", 150'000, 300'000, 502 } };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.name);
+    OneVm vm;
+    vm.SetRouting(MakeLongRouting());
+    RawCaller caller(vm.CallersPort());
+    caller.Head("/book/x", "Content-Length: " + std::to_string(entry.size) + "\r\n");
+    caller.Write(std::string(entry.sent, 'x'));
+    std::this_thread::sleep_for(milliseconds(100));
+    vm.Stop(kGrace);
+    CHECK(caller.Read().result_int() == entry.status);
+    vm.AwaitStop();
+  }
+}
+
 TEST_CASE("Changed settings don't move the end of a planned stop that has begun")
 {
   const auto isReleased = std::make_shared<std::atomic<bool>>(false);
