Answer a request whose server breaks off just before the grace period ends

A request whose connection to a server breaks in the last half second of a stopping VM ended without an answer. Cause: before it is answered, the VM asks whether the server's process has ended, for up to 0.4 s; the end of the grace period didn't end this question. Why this works: it does now; the request is answered with 502, without evidence against the server. Evidence: "A request whose server breaks off just before the grace period ends is answered".

--- a/src/edge/crash_watch.cc
+++ b/src/edge/crash_watch.cc
@@ -20,14 +20,16 @@
 // Whether the server's process has ended: its machine refuses connections. A server that
 // doesn't answer may be cut off from this VM.
 Task<bool>
-HasEnded(asio::io_context& aContext, const BackendServer& aServer)
+HasEnded(TrafficState& aState, const BackendServer& aServer)
 {
   beast::error_code fault;
   const auto ip = asio::ip::make_address(aServer.address, fault);
   if (fault) {
     co_return false;
   }
-  beast::tcp_stream probe(aContext);
+  beast::tcp_stream probe(aState.context);
+  // The request whose attempt broke is waiting to be answered.
+  const StopNotice ending(aState, StopPhase::kEnding, [&probe] { probe.cancel(); });
   probe.expires_after(kProbeTimeout);
   const Tcp::endpoint endpoint(ip, aServer.port);
   co_await probe.async_connect(endpoint, Into(fault));
@@ -69,7 +71,7 @@
                     placing::RequestDigest aDigest,
                     BackendServer aServer)
 {
-  const bool hasEnded = co_await HasEnded(aState.context, aServer);
+  const bool hasEnded = co_await HasEnded(aState, aServer);
   aState.metrics.Count(
     "plantainhaven_broken_attempts_total", "server", hasEnded ? "ended" : "alive");
   if (!hasEnded) {
--- a/test/edge/stop_test.cc
+++ b/test/edge/stop_test.cc
@@ -1,3 +1,4 @@
+#include "edge/cuttable_path.h"
 #include "edge/one_vm.h"
 #include "edge/raw_caller.h"
 
@@ -268,6 +269,30 @@
   }
 }
 
+// The server's machine is silent, so that the VM would wait for it until after its own end.
+TEST_CASE("A request whose server breaks off just before the grace period ends is answered")
+{
+  FakeServer server([](const FakeRequest& aRequest) {
+    std::this_thread::sleep_for(kLongGrace);
+    return Served(aRequest);
+  });
+  CuttablePath path(server.Port());
+  OneVm vm;
+  vm.SetRouting(MakeLongRouting());
+  vm.UseServerAt(path.Port());
+  auto status = std::async(std::launch::async, [&vm] {
+    return vm.SendRequest(http::verb::post, "/book/x", "key-1", "8000").result_int();
+  });
+  while (server.Arrived().empty()) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  vm.Stop(kLongGrace);
+  std::this_thread::sleep_for(kLongGrace - milliseconds(600 + 20));
+  path.Cut(CutForm::kReset);
+  CHECK(status.get() == 502);
+  vm.AwaitStop();
+}
+
 TEST_CASE("Changed settings don't move the end of a planned stop that has begun")
 {
   const auto isReleased = std::make_shared<std::atomic<bool>>(false);
