--- a/src/edge/edge_program.cc
+++ b/src/edge/edge_program.cc
@@ -379,7 +379,9 @@
   }
   Log(LogLevel::kInfo,
       "start",
-      { { "vm", aSettings.vm().name() }, { "failure_domain", aSettings.vm().failure_domain() } });
+      { { "vm", aSettings.vm().name() },
+        { "failure_domain", aSettings.vm().failure_domain() },
+        { "grace_ms", ValueOf(decoded).bounds.stopGrace.count() } });
   try {
     edge::Edge daemon(aSettings, ValueOf(decoded));
     daemon.Run();
--- a/test/adapter/decode_test.cc
+++ b/test/adapter/decode_test.cc
@@ -226,6 +226,19 @@
   }
 }
 
+// The settings template shows the bounds as a JSON object; they were passed over and defaults used.
+TEST_CASE("Bounds that the platform fills in as a table are in force")
+{
+  const auto bounds = ParseBounds({ R"({"seed_lag_s":3)",
+                                    R"("grace_s":4)",
+                                    R"("strict_revocation":false)",
+                                    R"("max_shift":0.1})" });
+  REQUIRE(IsOk(bounds));
+  CHECK(ValueOf(bounds).stopGrace == milliseconds(4000));
+  CHECK(ValueOf(bounds).maxShift == Approx(0.1));
+  CHECK_FALSE(IsOk(ParseBounds({ R"({"grace_s":"x"})" })));
+}
+
 TEST_CASE("A look-up answer holds the addresses and how long they hold")
 {
   CHECK(EncodeLookupResponse({ "10.1.0.1:80" }, milliseconds(2500)) ==
