Hold signals back until plantain-edged handles them

Cause: until signal_set is made, after settings and libraries, the default action ends the process. Why this works: main() blocks the three signals first, and they are delivered when the handlers are in. The time before main(), in which libraries are linked, remains.

--- a/src/edge/edge_program.cc
+++ b/src/edge/edge_program.cc
@@ -2,6 +2,7 @@
 
 #include "edge/context.h"
 #include "edge/fleet.h"
+#include "edge/held_signals.h"
 #include "edge/net.h"
 #include "edge/settings_watch.h"
 #include "edge/simple_server.h"
@@ -342,6 +343,7 @@
 Edge::Run()
 {
   this->AwaitSignal();
+  ReleaseSignals();
   this->traffic.Start();
   const auto bound = this->fleet.Start();
   if (!IsOk(bound)) {
@@ -367,6 +369,12 @@
 } // namespace
 } // namespace edge
 
+void
+PrepareEdge()
+{
+  edge::HoldSignals();
+}
+
 int
 RunEdge(const EdgedSettings& aSettings)
 {
--- a/src/programs/plantain-edged/main.cc
+++ b/src/programs/plantain-edged/main.cc
@@ -18,6 +18,7 @@
 int
 main(int aArgc, char** aArgv)
 {
+  plantainhaven::PrepareEdge();
   // The platform collects logs from standard output.
   std::clog.rdbuf(std::cout.rdbuf());
   std::vector<char*> arguments(aArgv, aArgv + aArgc);
