Show that planned stops of VMs that relay for one another lose no request

Two VMs, each without a path to one failure domain, stop at the same time under load: every request is answered by a server or refused with 503. A VM that stops completes what it relays for another, which turns away from it at once.

--- a/test/edge/server_path_test.cc
+++ b/test/edge/server_path_test.cc
@@ -89,6 +89,26 @@
       path->Cut(aForm);
     }
   }
+  // Cuts the paths of one VM to the servers of one of the two failure domains.
+  void CutDomain(int aVm, std::size_t aDomain, CutForm aForm)
+  {
+    const auto& paths = this->vms[static_cast<std::size_t>(aVm)]->paths;
+    for (std::size_t i = aDomain; i < paths.size(); i += 2) {
+      paths[i]->Cut(aForm);
+    }
+  }
+  // Begins an orderly stop of one VM.
+  void Stop(int aVm, milliseconds aGrace)
+  {
+    Vm& vm = *this->vms[static_cast<std::size_t>(aVm)];
+    asio::post(vm.context, [&vm, aGrace] {
+      platform::Bounds bounds;
+      bounds.stopGrace = aGrace;
+      vm.traffic->SetBounds(bounds);
+      const BootTime now = BootClock::Now();
+      vm.traffic->BeginStop({ now, now }, [&vm] { vm.context.stop(); });
+    });
+  }
   void Heal(int aVm)
   {
     for (const auto& path : this->vms[static_cast<std::size_t>(aVm)]->paths) {
@@ -413,6 +433,52 @@
   CHECK(ServedFraction(statuses) >= 0.98);
 }
 
+TEST_CASE("VMs that stop at once and relay for one another answer all their requests")
+{
+  FleetWithPaths fleet(2);
+  for (const int vm : { 0, 1 }) {
+    fleet.CutDomain(vm, static_cast<std::size_t>(vm), CutForm::kReset);
+    fleet.SendFor(vm, kReactionTime, 4);
+  }
+  std::vector<std::future<Statuses>> callers;
+  for (const int vm : { 0, 1 }) {
+    callers.push_back(std::async(
+      std::launch::async, [&fleet, vm] { return fleet.SendFor(vm, seconds(1), 4, "/book/x"); }));
+  }
+  std::this_thread::sleep_for(milliseconds(200));
+  for (const int vm : { 0, 1 }) {
+    fleet.Stop(vm, seconds(4));
+  }
+  for (auto& caller : callers) {
+    Statuses statuses = caller.get();
+    CHECK(statuses["200"] > 0);
+    for (const auto& [status, count] : statuses) {
+      CAPTURE(status, count);
+      CHECK((status == "200" || status.starts_with("503")));
+    }
+  }
+}
+
+TEST_CASE("A VM that stops completes what it relays, and others turn away from it at once")
+{
+  FleetWithPaths fleet(2);
+  fleet.Cut(0, CutForm::kReset);
+  fleet.SendFor(0, kReactionTime, 4);
+  fleet.SetHandler([](const FakeRequest& aRequest) {
+    std::this_thread::sleep_for(milliseconds(500));
+    return Served(aRequest);
+  });
+  auto open = std::async(std::launch::async, [&fleet] { return fleet.SendOne(0, "/book/x", 1); });
+  while (fleet.Counter(1, "plantainhaven_relay_connections_total", "", "") == 0) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  std::this_thread::sleep_for(milliseconds(100));
+  fleet.Stop(1, seconds(4));
+  std::this_thread::sleep_for(milliseconds(100));
+  CHECK(fleet.SendOne(0, "/book/x", 2).starts_with("503"));
+  CHECK(open.get() == "200");
+}
+
 // With TCP_USER_TIMEOUT set, TCP ends a connection after that time without an answer to its
 // keep-alive probes, whatever their number.
 TEST_CASE("No connection has both a user timeout and keep-alive probes")
