--- a/test/edge/stop_test.cc
+++ b/test/edge/stop_test.cc
@@ -257,15 +257,16 @@
                          { "passed on in part", 150'000, 300'000, 502 } };
   for (const Case& entry : cases) {
     CAPTURE(entry.name);
-    OneVm vm;
-    vm.SetRouting(MakeLongRouting());
-    RawCaller caller(vm.CallersPort());
+    auto vm = std::make_unique<OneVm>();
+    vm->SetRouting(MakeLongRouting());
+    RawCaller caller(vm->CallersPort());
     caller.Head("/book/x", "Content-Length: " + std::to_string(entry.size) + "\r\n");
     caller.Write(std::string(entry.sent, 'x'));
     std::this_thread::sleep_for(milliseconds(100));
-    vm.Stop(kGrace);
+    vm->Stop(kGrace);
+    vm->AwaitStop();
+    vm.reset();
     CHECK(caller.Read().result_int() == entry.status);
-    vm.AwaitStop();
   }
 }
 
