Send requests to servers and read their responses through one class

It is the place for checks that hold for every response. No change of behaviour, except that interim responses are counted for each response.

--- /dev/null
+++ b/src/wire/client_stream.cc
@@ -0,0 +1,100 @@
+#include "wire/client_stream.h"
+
+#include <cerrno>
+#include <sys/socket.h>
+
+namespace plantainhaven::wire {
+namespace {
+
+// Interim responses that are skipped before the response.
+constexpr int kMaxInterimResponses = 3;
+constexpr int kFirstStatus = 100;
+constexpr int kFirstFinalStatus = 200;
+
+} // namespace
+
+bool
+IsOpenAndEmpty(beast::tcp_stream& aStream)
+{
+  char byte = 0;
+  const auto size =
+    ::recv(aStream.socket().native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+ClientStream::ClientStream(beast::tcp_stream& aStream, beast::flat_buffer& aBuffer, Limits aLimits)
+  : stream(aStream)
+  , buffer(aBuffer)
+  , limits(aLimits)
+{
+}
+
+beast::error_code
+ClientStream::EndWrite(beast::error_code aFault)
+{
+  this->isWriting = false;
+  return aFault == http::error::need_buffer ? beast::error_code() : aFault;
+}
+
+asio::awaitable<beast::error_code>
+ClientStream::ReadHead(bool aIsToHead)
+{
+  this->head = {};
+  this->isWhole = false;
+  for (int interim = 0; interim <= kMaxInterimResponses; ++interim) {
+    this->parser.emplace();
+    this->parser->header_limit(this->limits.headBytes);
+    this->parser->body_limit(this->limits.bodyBytes);
+    this->parser->skip(aIsToHead);
+    beast::error_code fault;
+    co_await http::async_read_header(
+      this->stream, this->buffer, *this->parser, asio::redirect_error(asio::use_awaitable, fault));
+    if (fault) {
+      co_return fault;
+    }
+    const auto status = static_cast<int>(this->parser->get().result_int());
+    if (status >= kFirstFinalStatus || status < kFirstStatus) {
+      this->TakeHead();
+      co_return beast::error_code();
+    }
+  }
+  co_return http::error::bad_status;
+}
+
+void
+ClientStream::TakeHead()
+{
+  Head& parsed = this->parser->get().base();
+  const auto length = this->parser->content_length();
+  this->contentLength = length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+  this->keepsAlive = this->parser->keep_alive();
+  this->head = std::move(parsed);
+  this->isWhole = this->parser->is_done();
+}
+
+asio::awaitable<beast::error_code>
+ClientStream::ReadPart(std::string& aBody, std::size_t aMaxBytes)
+{
+  const std::size_t before = aBody.size();
+  aBody.resize(before + aMaxBytes);
+  auto& part = this->parser->get().body();
+  part.data = aBody.data() + before;
+  part.size = aMaxBytes;
+  beast::error_code fault;
+  co_await http::async_read_some(
+    this->stream, this->buffer, *this->parser, asio::redirect_error(asio::use_awaitable, fault));
+  if (fault == http::error::need_buffer) {
+    fault = {};
+  }
+  aBody.resize(before + aMaxBytes - part.size);
+  this->isWhole = !fault && this->parser->is_done();
+  co_return fault;
+}
+
+bool
+ClientStream::IsReusable() const
+{
+  return this->isWhole && this->keepsAlive && !this->isWriting && this->buffer.size() == 0;
+}
+
+} // namespace plantainhaven::wire
