Treat a response whose status is none of HTTP's as broken

What callers saw: a server's response with status 000 as the answer to their request, signed and with its body. Cause: the parser takes any three digits for a status, and nothing between it and the caller asked whether there is such a status. 000 to 099 counted as served, since only 500 and more is a failure; 600 and more as the server's own failure. Why this fix works: ClientStream hands out a head only if FramingOf() in policy/response has found it sound, so nothing that reads through it can forget to ask. Such a response is now broken like bytes that are no HTTP: repeated where that is safe, otherwise 502 without a signature.

--- /dev/null
+++ b/include/plantainhaven/policy/response/response_rules.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstddef>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace plantainhaven {
+
+// How the end of a message's body is found.
+enum class Framing
+{
+  kNone,       // There is no body.
+  kLength,     // Content-Length bytes follow.
+  kChunked,    // Chunks follow.
+  kUntilClose, // The body ends with the connection; responses only.
+};
+
+// What decides whether a response is one of HTTP/1.1 (RFC 9112), and how its body ends.
+struct ResponseFacts
+{
+  // As in the status line.
+  int status = 0;
+  // The request's method is HEAD.
+  bool isToHead = false;
+  // Number of Content-Length fields.
+  std::size_t lengths = 0;
+  // Values of the Transfer-Encoding fields.
+  std::vector<std::string_view> transferCodings{};
+};
+
+// Why a response must not be used.
+enum class ResponseFault
+{
+  kStatus, // Not between 100 and 599.
+};
+
+// The framing of a response's body, or why the response must not be used.
+std::variant<Framing, ResponseFault>
+FramingOf(const ResponseFacts& aFacts);
+
+} // namespace plantainhaven
--- a/src/edge/exchange.cc
+++ b/src/edge/exchange.cc
@@ -153,6 +153,9 @@
   this->requestId.assign(id.data(), id.size());
   this->isHead = aHead.method() == http::verb::head;
   this->upstream->stream.expires_at(aDeadline);
+  this->stream.emplace(this->upstream->stream,
+                       this->upstream->buffer,
+                       wire::ClientStream::Limits{ kMaxHeadBytes, kMaxBodyBytes });
   beast::error_code fault;
   if (aBody.IsWhole()) {
     co_await this->Write(std::move(aHead), aBody);
@@ -186,8 +189,7 @@
   if (hasBody) {
     request.content_length(request.body().size());
   }
-  beast::error_code fault;
-  co_await http::async_write(this->upstream->stream, request, Into(fault));
+  const beast::error_code fault = co_await this->stream->Write(request);
   // A server may respond and close the connection before it has read the body, so the response is
   // read even after a failed write.
   this->isIncomplete = static_cast<bool>(fault);
@@ -205,8 +207,7 @@
   http::request_serializer<http::buffer_body> serializer(request);
   request.body().data = nullptr;
   request.body().more = true;
-  beast::error_code fault;
-  co_await http::async_write_header(this->upstream->stream, serializer, Into(fault));
+  beast::error_code fault = co_await this->stream->WriteHead(serializer);
   std::string part = aBody.First();
   while (!fault) {
     const bool isLast = part.empty();
@@ -216,10 +217,7 @@
     request.body().data = isLast ? nullptr : part.data();
     request.body().size = part.size();
     request.body().more = !isLast;
-    co_await http::async_write(this->upstream->stream, serializer, Into(fault));
-    if (fault == http::error::need_buffer) {
-      fault = {};
-    }
+    fault = co_await this->stream->Write(serializer);
     if (isLast) {
       break;
     }
@@ -248,23 +246,16 @@
 Task<beast::error_code>
 Exchange::ReadHead()
 {
-  beast::tcp_stream& stream = this->upstream->stream;
   for (int stale = 0; stale <= kMaxStaleResponses; ++stale) {
-    this->parser.emplace();
-    this->parser->header_limit(kMaxHeadBytes);
-    this->parser->body_limit(kMaxBodyBytes);
-    this->parser->skip(this->isHead);
-    beast::error_code fault;
-    co_await http::async_read_header(stream, this->upstream->buffer, *this->parser, Into(fault));
+    beast::error_code fault = co_await this->stream->ReadHead(this->isHead);
     if (fault) {
       co_return fault;
     }
     const auto id = this->Head()[platform::kRequestIdHeader];
-    const bool isInterim = this->Status() / 100 == 1;
-    if (!isInterim && (id.empty() || id == this->requestId)) {
+    if (id.empty() || id == this->requestId) {
       co_return beast::error_code();
     }
-    this->isOutOfSync = this->isOutOfSync || !isInterim;
+    this->isOutOfSync = true;
     fault = co_await this->SkipBody();
     if (fault) {
       co_return fault;
@@ -278,9 +269,9 @@
 {
   beast::error_code fault;
   std::size_t skipped = 0;
-  while (!fault && !this->parser->is_done()) {
+  while (!fault && !this->IsWhole()) {
     this->body.clear();
-    fault = co_await this->ReadPart(kPartBytes);
+    fault = co_await this->stream->ReadPart(this->body, kPartBytes);
     skipped += this->body.size();
     if (!fault && skipped > kMaxStaleBytes) {
       fault = http::error::body_limit;
@@ -293,8 +284,8 @@
 Task<beast::error_code>
 Exchange::ReadBody()
 {
-  while (!this->parser->is_done() && this->body.size() < kMaxBufferedBody) {
-    const beast::error_code fault = co_await this->ReadPart(kPartBytes);
+  while (!this->IsWhole() && this->body.size() < kMaxBufferedBody) {
+    const beast::error_code fault = co_await this->stream->ReadPart(this->body, kPartBytes);
     if (fault) {
       co_return fault;
     }
@@ -302,31 +293,12 @@
   co_return beast::error_code();
 }
 
-// Appends up to `aMaxBytes` bytes of the response body.
-Task<beast::error_code>
-Exchange::ReadPart(std::size_t aMaxBytes)
-{
-  const std::size_t before = this->body.size();
-  this->body.resize(before + aMaxBytes);
-  auto& part = this->parser->get().body();
-  part.data = this->body.data() + before;
-  part.size = aMaxBytes;
-  beast::error_code fault;
-  co_await http::async_read_some(
-    this->upstream->stream, this->upstream->buffer, *this->parser, Into(fault));
-  if (fault == http::error::need_buffer) {
-    fault = {};
-  }
-  this->body.resize(before + aMaxBytes - part.size);
-  co_return fault;
-}
-
 Task<std::string>
 Exchange::ReadMore()
 {
   this->body.clear();
-  while (this->body.empty() && !this->parser->is_done()) {
-    const beast::error_code fault = co_await this->ReadPart(kPartBytes);
+  while (this->body.empty() && !this->IsWhole()) {
+    const beast::error_code fault = co_await this->stream->ReadPart(this->body, kPartBytes);
     if (fault) {
       this->outcome = IsTimeout(fault) ? SendOutcome::kTimeout : SendOutcome::kBroken;
       this->body.clear();
@@ -379,7 +351,7 @@
 Exchange::ClassifyRelayed(bool aIsSigned, bool aIsEchoed)
 {
   this->outcome = OutcomeOf(this->Head()[kRelayOutcomeField]);
-  this->parser->get().erase(kRelayOutcomeField);
+  this->stream->EraseField(kRelayOutcomeField);
   this->errorText = "stated by the relaying VM";
   if (this->outcome == SendOutcome::kShed || this->outcome == SendOutcome::kServed ||
       this->outcome == SendOutcome::kFailed) {
@@ -451,13 +423,6 @@
   }
 }
 
-std::optional<std::uint64_t>
-Exchange::ContentLength() const
-{
-  const auto length = this->parser->content_length();
-  return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
-}
-
 void
 Exchange::Cancel()
 {
@@ -470,9 +435,8 @@
 void
 Exchange::Finish()
 {
-  const bool isUsable = this->upstream != nullptr && this->parser && this->parser->is_done() &&
-                        this->parser->keep_alive() && !this->isOutOfSync && !this->isIncomplete &&
-                        !this->isCancelled && this->upstream->buffer.size() == 0;
+  const bool isUsable = this->upstream != nullptr && this->stream && this->stream->IsReusable() &&
+                        !this->isOutOfSync && !this->isIncomplete && !this->isCancelled;
   if (isUsable) {
     this->upstream->idleLimit = IdleLimitOf(this->Head());
     this->upstream->stream.expires_never();
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -5,6 +5,7 @@
 #include "edge/net.h"
 #include "edge/upstream_pool.h"
 #include "plantainhaven/policy/placing/placement.h"
+#include "wire/client_stream.h"
 
 #include <boost/beast/http.hpp>
 #include <memory>
@@ -13,8 +14,7 @@
 
 namespace plantainhaven::edge {
 
-using ServerHead = http::response_header<http::fields>;
-using ServerParser = http::response_parser<http::buffer_body>;
+using ServerHead = wire::ClientStream::Head;
 
 // The request rate that a response names; no rate means that the server has no limit now.
 struct LimitStatement
@@ -73,18 +73,18 @@
   // The server states that it didn't execute the request, on a connection where the statement
   // can't belong to another request.
   bool IsNotExecuted() const { return this->isNotExecuted; }
-  const ServerHead& Head() const { return this->parser->get(); }
-  unsigned Status() const { return this->parser->get().result_int(); }
+  const ServerHead& Head() const { return this->stream->ResponseHead(); }
+  unsigned Status() const { return this->Head().result_int(); }
   // The first part of the body.
   std::string& Body() { return this->body; }
-  bool IsWhole() const { return this->parser->is_done(); }
+  bool IsWhole() const { return this->stream->IsWhole(); }
   // Size of the whole body, or of its first part when the head states no length.
   std::uint64_t BodyBytes() const { return this->ContentLength().value_or(this->body.size()); }
   // The response head was received; its body may still be arriving.
   bool HasHead() const { return this->hasHead; }
   // The response can be forwarded: its head was received, and its body as far as it is buffered.
   bool IsAnswered() const { return this->isAnswered; }
-  std::optional<std::uint64_t> ContentLength() const;
+  std::optional<std::uint64_t> ContentLength() const { return this->stream->ContentLength(); }
   std::optional<ServerLoad> Load() const { return this->load; }
   // What the response states about the server's rate limit; nothing when it states nothing.
   std::optional<LimitStatement> Limit() const { return this->limit; }
@@ -114,7 +114,6 @@
   // Skips the body of a response to another request.
   Task<beast::error_code> SkipBody();
   Task<beast::error_code> ReadBody();
-  Task<beast::error_code> ReadPart(std::size_t aMaxBytes);
   void ClassifyResponse();
   // Adopts the outcome that a relaying VM states.
   void ClassifyRelayed(bool aIsSigned, bool aIsEchoed);
@@ -126,7 +125,8 @@
   UpstreamPool& pool;
   ExchangeTarget target;
   UpstreamPtr upstream;
-  std::optional<ServerParser> parser;
+  // The request and its response on the connection, once it is established.
+  std::optional<wire::ClientStream> stream;
   std::string requestId;
   // The request's method is HEAD, so its response has no body.
   bool isHead = false;
--- a/src/edge/upstream_pool.cc
+++ b/src/edge/upstream_pool.cc
@@ -1,7 +1,8 @@
 #include "edge/upstream_pool.h"
 
+#include "wire/client_stream.h"
+
 #include <algorithm>
-#include <cerrno>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <utility>
@@ -13,17 +14,6 @@
 // partition or after a host failure. TCP applies it to keep-alive probes as well.
 constexpr std::chrono::milliseconds kUserTimeout{ 3000 };
 
-// True when the connection is open and has no bytes to read. Bytes received while no request is in
-// flight belong to no request, so such a connection can't be reused.
-bool
-IsOpenAndEmpty(Upstream& aUpstream)
-{
-  char byte = 0;
-  const auto size =
-    ::recv(aUpstream.stream.socket().native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-  return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 bool
 IsWithinIdleLimit(const Upstream& aUpstream, std::chrono::milliseconds aMaxIdle, BootTime aNow)
 {
@@ -53,7 +43,7 @@
   while (found != this->idle.end() && !found->second.empty()) {
     UpstreamPtr upstream = std::move(found->second.back());
     found->second.pop_back();
-    if (IsWithinIdleLimit(*upstream, aMaxIdle, now) && IsOpenAndEmpty(*upstream)) {
+    if (IsWithinIdleLimit(*upstream, aMaxIdle, now) && wire::IsOpenAndEmpty(upstream->stream)) {
       upstream->isReused = true;
       return upstream;
     }
--- a/src/http/text.h
+++ b/src/http/text.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "plantainhaven/http/message.h"
+#include "plantainhaven/policy/response/response_rules.h"
 
 #include <cstdint>
 #include <string_view>
@@ -16,15 +17,6 @@
 bool
 HasToken(const HttpHeaders& aHeaders, std::string_view aName, std::string_view aToken);
 
-// How the end of a body is found.
-enum class Framing
-{
-  kNone,       // There is no body.
-  kLength,     // Content-Length bytes follow.
-  kChunked,    // Chunks follow.
-  kUntilClose, // The body ends with the connection; answers only.
-};
-
 struct BodyFrame
 {
   Framing framing = Framing::kNone;
--- a/src/wire/client_stream.cc
+++ b/src/wire/client_stream.cc
@@ -2,14 +2,14 @@
 
 #include <cerrno>
 #include <sys/socket.h>
+#include <variant>
 
 namespace plantainhaven::wire {
 namespace {
 
 // Interim responses that are skipped before the response.
 constexpr int kMaxInterimResponses = 3;
-constexpr int kFirstStatus = 100;
-constexpr int kFirstFinalStatus = 200;
+constexpr unsigned kFirstFinalStatus = 200;
 
 } // namespace
 
@@ -52,8 +52,11 @@
     if (fault) {
       co_return fault;
     }
-    const auto status = static_cast<int>(this->parser->get().result_int());
-    if (status >= kFirstFinalStatus || status < kFirstStatus) {
+    fault = this->CheckHead(aIsToHead);
+    if (fault) {
+      co_return fault;
+    }
+    if (this->parser->get().result_int() >= kFirstFinalStatus) {
       this->TakeHead();
       co_return beast::error_code();
     }
@@ -61,14 +64,32 @@
   co_return http::error::bad_status;
 }
 
+beast::error_code
+ClientStream::CheckHead(bool aIsToHead)
+{
+  const Head& parsed = this->parser->get().base();
+  ResponseFacts facts{ .status = static_cast<int>(parsed.result_int()),
+                       .isToHead = aIsToHead,
+                       .lengths = parsed.count(http::field::content_length) };
+  const auto codings = parsed.equal_range(http::field::transfer_encoding);
+  for (auto coding = codings.first; coding != codings.second; ++coding) {
+    facts.transferCodings.emplace_back(coding->value().data(), coding->value().size());
+  }
+  const auto checked = FramingOf(facts);
+  if (std::holds_alternative<ResponseFault>(checked)) {
+    return http::error::bad_status;
+  }
+  this->framing = std::get<Framing>(checked);
+  return {};
+}
+
 void
 ClientStream::TakeHead()
 {
-  Head& parsed = this->parser->get().base();
   const auto length = this->parser->content_length();
   this->contentLength = length ? std::optional<std::uint64_t>(*length) : std::nullopt;
   this->keepsAlive = this->parser->keep_alive();
-  this->head = std::move(parsed);
+  this->head = std::move(this->parser->get().base());
   this->isWhole = this->parser->is_done();
 }
 
--- a/src/wire/client_stream.h
+++ b/src/wire/client_stream.h
@@ -3,6 +3,8 @@
 // With g++ 12, Asio 1.74 requires <utility> before its coroutine headers.
 #include <utility>
 
+#include "plantainhaven/policy/response/response_rules.h"
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -28,7 +30,8 @@
 
 // Writes a request to a connection and reads its response, at the same time if the request is long.
 // Everything that is read or written goes through this class, because a connection tells only one
-// of its operations that it broke. Must be used from one thread.
+// of its operations that it broke. A response that isn't one of HTTP/1.1 is an error of ReadHead().
+// Must be used from one thread.
 class ClientStream
 {
 public:
@@ -79,6 +82,8 @@
 
 private:
   beast::error_code EndWrite(beast::error_code aFault);
+  // Whether the parsed head is one of HTTP/1.1, by the rules of policy/response.
+  beast::error_code CheckHead(bool aIsToHead);
   void TakeHead();
 
   beast::tcp_stream& stream;
@@ -87,6 +92,7 @@
   std::optional<http::response_parser<http::buffer_body>> parser;
   Head head;
   std::optional<std::uint64_t> contentLength;
+  Framing framing = Framing::kNone;
   bool isWhole = false;
   bool keepsAlive = false;
   bool isWriting = false;
--- a/test/edge/one_vm.h
+++ b/test/edge/one_vm.h
@@ -243,14 +243,7 @@
   // thread is blocked meanwhile.
   void SendAndDisconnect(const std::string& aPath)
   {
-    std::promise<void> release;
-    std::promise<void> isBlocked;
-    asio::post(this->context, [&isBlocked, released = release.get_future().share()] {
-      isBlocked.set_value();
-      released.wait();
-    });
-    isBlocked.get_future().wait();
-    {
+    this->WhileBlocked([&] {
       asio::io_context clientContext;
       Tcp::socket socket(clientContext);
       socket.connect({ asio::ip::make_address("127.0.0.1"), this->callersPort });
@@ -260,7 +253,20 @@
                                "X-Plantainhaven-Affinity-Key: 17\r\n"
                                "Authorization: Token key-1\r\n\r\n";
       asio::write(socket, asio::buffer(head));
-    }
+    });
+  }
+
+  // Runs the action while the VM's thread is blocked.
+  void WhileBlocked(const std::function<void()>& aAction)
+  {
+    std::promise<void> release;
+    std::promise<void> isBlocked;
+    asio::post(this->context, [&isBlocked, released = release.get_future().share()] {
+      isBlocked.set_value();
+      released.wait();
+    });
+    isBlocked.get_future().wait();
+    aAction();
     release.set_value();
   }
 
@@ -338,7 +344,7 @@
   }
 
   // Makes the first attempt of the next request fail with `aFirstResponse`.
-  void FailFirstAttempt(FakeAnswer (*aFirstResponse)(const FakeRequest&))
+  void FailFirstAttempt(const FakeHandler& aFirstResponse)
   {
     // Whichever server receives the first attempt returns the faulty response; later attempts
     // succeed.
--- a/test/edge/raw_caller.h
+++ b/test/edge/raw_caller.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <cstdio>
+#include <poll.h>
 #include <string>
 
 namespace plantainhaven::edge {
@@ -20,12 +21,15 @@
     this->socket.connect({ asio::ip::make_address("127.0.0.1"), aPort });
   }
 
-  void Head(const std::string& aPath, const std::string& aFields)
+  void Head(const std::string& aPath,
+            const std::string& aFields,
+            const std::string& aVersion = "HTTP/1.1",
+            const std::string& aDeadline = "1500")
   {
-    this->Write("POST " + aPath +
-                " HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Token key-1\r\n"
-                "X-Plantainhaven-Request-Id: raw-1\r\nX-Plantainhaven-Deadline: 1500\r\n" +
-                aFields + "\r\n");
+    this->Write("POST " + aPath + " " + aVersion +
+                "\r\nHost: shop.example\r\nAuthorization: Token key-1\r\n"
+                "X-Plantainhaven-Request-Id: raw-1\r\nX-Plantainhaven-Deadline: " +
+                aDeadline + "\r\n" + aFields + "\r\n");
   }
   void Write(const std::string& aBytes)
   {
@@ -53,6 +57,18 @@
     return answer;
   }
   void Close() { this->socket.close(); }
+  // The VM takes more bytes, as far as the operating system knows.
+  bool CanWrite()
+  {
+    pollfd entry{ this->socket.native_handle(), POLLOUT, 0 };
+    return ::poll(&entry, 1, 0) > 0;
+  }
+  // Ends a pending write or read of another thread.
+  void Shutdown()
+  {
+    beast::error_code ignored;
+    this->socket.shutdown(Tcp::socket::shutdown_both, ignored);
+  }
 
 private:
   asio::io_context context;
--- a/test/http/raw_peer.h
+++ b/test/http/raw_peer.h
@@ -6,13 +6,30 @@
 #include <thread>
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 namespace plantainhaven {
 
+// Waits until the condition holds. Returns false when that takes too long.
+template<typename Condition>
+bool
+Await(Condition aCondition)
+{
+  const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  while (!aCondition()) {
+    if (std::chrono::steady_clock::now() > until) {
+      return false;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  return true;
+}
+
 // A TCP socket that tests speak through byte by byte.
 class RawSocket
 {
@@ -63,6 +80,36 @@
     return text;
   }
 
+  // Number of bytes that have arrived and weren't read.
+  int Unread() const
+  {
+    int unread = 0;
+    ::ioctl(this->descriptor, FIONREAD, &unread);
+    return unread;
+  }
+
+  // Waits until the other end's machine has received all that was sent.
+  bool AwaitSent() const
+  {
+    return Await([this] {
+      int unsent = 0;
+      ::ioctl(this->descriptor, SIOCOUTQ, &unsent);
+      return unsent == 0;
+    });
+  }
+
+  // Waits until the other end has closed, without reading what it has sent.
+  bool AwaitClose() const
+  {
+    return Await([this] {
+      pollfd entry{ this->descriptor, POLLRDHUP, 0 };
+      return ::poll(&entry, 1, 0) > 0;
+    });
+  }
+
+  // Sends nothing more.
+  void Finish() const { ::shutdown(this->descriptor, SHUT_WR); }
+
   // Ends with a reset in place of an orderly close.
   void Reset()
   {
--- /dev/null
+++ b/test/policy/response/response_rules_test.cc
@@ -0,0 +1,53 @@
+#include "plantainhaven/policy/response/response_rules.h"
+
+#include <catch2/catch.hpp>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace plantainhaven {
+namespace {
+
+TEST_CASE("Only responses with a status of HTTP are used")
+{
+  struct Case
+  {
+    int status;
+    bool isUsed;
+  };
+  const Case cases[] = {
+    { -10, false }, { 0, false },  { 1, false },  { 20, false },  { 99, false },  { 100, true },
+    { 101, true },  { 200, true }, { 599, true }, { 600, false }, { 999, false }, { 2000, false },
+  };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.status);
+    CHECK(std::holds_alternative<Framing>(FramingOf({ .status = entry.status })) == entry.isUsed);
+  }
+}
+
+TEST_CASE("The head tells how the end of a response's body is found")
+{
+  struct Case
+  {
+    const char* name;
+    ResponseFacts facts;
+    Framing framing;
+  };
+  const Case cases[] = {
+    { "length", { .status = 200, .lengths = 1 }, Framing::kLength },
+    { "chunks", { .status = 200, .transferCodings = { "chunked" } }, Framing::kChunked },
+    { "neither", { .status = 200 }, Framing::kUntilClose },
+    { "failure without a length", { .status = 500 }, Framing::kUntilClose },
+    { "to HEAD", { .status = 200, .isToHead = true, .lengths = 1 }, Framing::kNone },
+    { "interim", { .status = 103 }, Framing::kNone },
+    { "no content", { .status = 204, .lengths = 1 }, Framing::kNone },
+    { "not modified", { .status = 304, .lengths = 1 }, Framing::kNone },
+  };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.name);
+    CHECK(std::get<Framing>(FramingOf(entry.facts)) == entry.framing);
+  }
+}
+
+} // namespace
+} // namespace plantainhaven
