Don't take a response that a reset cuts for whole

What callers saw: part of a body as a complete answer, with its signature. The server had answered a long upload at once with a 200 without a length and reset the connection while the upload was written. Cause: a connection reports its error once. Asio tries the pending write before the read, so the write gets ECONNRESET; the read gets what is buffered and then an ordinary end, which ends a body without a length. Only the writer knew, and it kept that to itself. The test waits until the server receives nothing more and the caller can write nothing more, so that a write is pending, and until the VM has read the part; then it resets. With a length or chunks, and with no upload under way, a cut was noticed before. Why this fix works: ClientStream does the writes and the reads of a connection. Where a body ends with the connection, it waits for the pending write and then asks IsWhole(), which counts the errors of both. The order of the end and the reset stays visible: Linux reports EPIPE for a reset after the other end's orderly end, so "A response that ends before its connection is reset is forwarded" holds as before, also when the VM sees both at once.

--- a/include/plantainhaven/policy/response/response_rules.h
+++ b/include/plantainhaven/policy/response/response_rules.h
@@ -39,4 +39,17 @@
 std::variant<Framing, ResponseFault>
 FramingOf(const ResponseFacts& aFacts);
 
+// How the other end stopped sending, as far as the errors of all reads and writes tell.
+enum class ConnectionEnd
+{
+  kOrderly, // It has sent all that it wanted to send.
+  kBroken,  // A reset, a timeout or the like.
+};
+
+// Whether the body of a response was received to its end. `isComplete`: all that its framing
+// promises was received. A body that ends with the connection promises nothing, so there the end of
+// the connection decides.
+bool
+IsWhole(Framing aFraming, bool isComplete, ConnectionEnd aEnd);
+
 } // namespace plantainhaven
--- a/src/policy/response/response_rules.cc
+++ b/src/policy/response/response_rules.cc
@@ -34,4 +34,10 @@
   return aFacts.lengths > 0 ? Framing::kLength : Framing::kUntilClose;
 }
 
+bool
+IsWhole(Framing aFraming, bool isComplete, ConnectionEnd aEnd)
+{
+  return isComplete && (aFraming != Framing::kUntilClose || aEnd == ConnectionEnd::kOrderly);
+}
+
 } // namespace plantainhaven
--- a/src/wire/client_stream.cc
+++ b/src/wire/client_stream.cc
@@ -26,6 +26,7 @@
   : stream(aStream)
   , buffer(aBuffer)
   , limits(aLimits)
+  , written(aStream.get_executor(), asio::steady_timer::time_point::max())
 {
 }
 
@@ -33,7 +34,35 @@
 ClientStream::EndWrite(beast::error_code aFault)
 {
   this->isWriting = false;
-  return aFault == http::error::need_buffer ? beast::error_code() : aFault;
+  this->written.cancel();
+  if (aFault == http::error::need_buffer) {
+    return {};
+  }
+  if (aFault && !this->writeFault) {
+    this->writeFault = aFault;
+  }
+  return aFault;
+}
+
+asio::awaitable<void>
+ClientStream::EndPendingWrite()
+{
+  if (this->isWriting) {
+    this->stream.cancel();
+  }
+  while (this->isWriting) {
+    beast::error_code ignored;
+    co_await this->written.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  }
+}
+
+ConnectionEnd
+ClientStream::End() const
+{
+  // A reset after the other end's orderly end is reported as EPIPE, one before it as ECONNRESET.
+  const bool isOrderly = !this->writeFault || this->writeFault == asio::error::broken_pipe ||
+                         this->writeFault == asio::error::operation_aborted;
+  return isOrderly ? ConnectionEnd::kOrderly : ConnectionEnd::kBroken;
 }
 
 asio::awaitable<beast::error_code>
@@ -108,8 +137,12 @@
     fault = {};
   }
   aBody.resize(before + aMaxBytes - part.size);
-  this->isWhole = !fault && this->parser->is_done();
-  co_return fault;
+  const bool isComplete = !fault && this->parser->is_done();
+  if (isComplete && this->framing == Framing::kUntilClose) {
+    co_await this->EndPendingWrite();
+  }
+  this->isWhole = plantainhaven::IsWhole(this->framing, isComplete, this->End());
+  co_return isComplete && !this->isWhole ? this->writeFault : fault;
 }
 
 bool
--- a/src/wire/client_stream.h
+++ b/src/wire/client_stream.h
@@ -30,8 +30,8 @@
 
 // Writes a request to a connection and reads its response, at the same time if the request is long.
 // Everything that is read or written goes through this class, because a connection tells only one
-// of its operations that it broke. A response that isn't one of HTTP/1.1 is an error of ReadHead().
-// Must be used from one thread.
+// of its operations that it broke. A response that isn't one of HTTP/1.1 is an error of ReadHead(),
+// one that isn't whole an error of ReadPart(). Must be used from one thread.
 class ClientStream
 {
 public:
@@ -68,7 +68,8 @@
 
   // Reads the head of the next response. `aIsToHead`: the request's method is HEAD.
   asio::awaitable<beast::error_code> ReadHead(bool aIsToHead);
-  // Appends up to `aMaxBytes` bytes of the body.
+  // Appends up to `aMaxBytes` bytes of the body. Cancels a pending write where the body ends with
+  // the connection.
   asio::awaitable<beast::error_code> ReadPart(std::string& aBody, std::size_t aMaxBytes);
 
   // The response's head; empty unless ReadHead() has succeeded.
@@ -85,6 +86,10 @@
   // Whether the parsed head is one of HTTP/1.1, by the rules of policy/response.
   beast::error_code CheckHead(bool aIsToHead);
   void TakeHead();
+  // Waits for the pending write, whose error may be the only one that tells that the connection
+  // broke.
+  asio::awaitable<void> EndPendingWrite();
+  ConnectionEnd End() const;
 
   beast::tcp_stream& stream;
   beast::flat_buffer& buffer;
@@ -96,6 +101,9 @@
   bool isWhole = false;
   bool keepsAlive = false;
   bool isWriting = false;
+  beast::error_code writeFault;
+  // Cancelled when a write ends.
+  asio::steady_timer written;
 };
 
 } // namespace plantainhaven::wire
--- a/test/policy/response/response_rules_test.cc
+++ b/test/policy/response/response_rules_test.cc
@@ -49,5 +49,30 @@
   }
 }
 
+TEST_CASE("A body that ends with the connection is whole only if that ended in order")
+{
+  struct Case
+  {
+    Framing framing;
+    bool isComplete;
+    ConnectionEnd end;
+    bool isWhole;
+  };
+  const Case cases[] = {
+    { Framing::kUntilClose, true, ConnectionEnd::kOrderly, true },
+    { Framing::kUntilClose, true, ConnectionEnd::kBroken, false },
+    { Framing::kUntilClose, false, ConnectionEnd::kOrderly, false },
+    { Framing::kLength, true, ConnectionEnd::kBroken, true },
+    { Framing::kLength, false, ConnectionEnd::kOrderly, false },
+    { Framing::kChunked, true, ConnectionEnd::kBroken, true },
+    { Framing::kChunked, false, ConnectionEnd::kOrderly, false },
+    { Framing::kNone, true, ConnectionEnd::kBroken, true },
+  };
+  for (const Case& entry : cases) {
+    CAPTURE(static_cast<int>(entry.framing), entry.isComplete, static_cast<int>(entry.end));
+    CHECK(IsWhole(entry.framing, entry.isComplete, entry.end) == entry.isWhole);
+  }
+}
+
 } // namespace
 } // namespace plantainhaven
--- /dev/null
+++ b/test/responses/early_response_test.cc
@@ -0,0 +1,222 @@
+#include "edge/exchange.h"
+
+#include "edge/one_vm.h"
+#include "edge/raw_caller.h"
+#include "http/raw_peer.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <cstdio>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+
+namespace plantainhaven::edge {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kSmall = 4;
+constexpr std::size_t kMedium = 100'000;
+// More than a VM buffers of a response before it forwards it.
+constexpr std::size_t kLarge = 400'000;
+// More than the buffers of a connection hold.
+constexpr std::size_t kUpload = 32 << 20;
+
+const std::string kFields = "X-Plantainhaven-Request-Id: raw-1\r\n" + std::string(kSignatureLine);
+
+// The test routing, with room for long uploads and time for them.
+RoutingPtr
+MakeUploadRouting()
+{
+  Routing routing;
+  routing.version = 2;
+  routing.limits.maxBodyBytes = 2 * kUpload;
+  for (const char* const name : { "read", "book" }) {
+    Route route;
+    route.name = name;
+    route.prefix = "/" + std::string(name) + "/";
+    route.isIdempotent = route.name == "read";
+    route.timeout = milliseconds(20000);
+    route.latencyObjective = milliseconds(300);
+    route.maxAttempts = 2;
+    route.targets = { { "portal", 1.0 } };
+    routing.AddRoute("shop.example", route);
+  }
+  routing.accounts = MakeTestRouting()->accounts;
+  routing.AddKey("key-1", 0);
+  return std::make_shared<Routing>(std::move(routing));
+}
+
+// The head and the body of a response, in the form that its name tells.
+std::string
+Bytes(const std::string& aForm, std::size_t aSize)
+{
+  const std::string body(aSize, 'b');
+  if (aForm == "length") {
+    return "HTTP/1.1 200 OK\r\n" + kFields + "Content-Length: " + std::to_string(aSize) +
+           "\r\n\r\n" + body;
+  }
+  if (aForm == "chunks") {
+    char size[20];
+    std::snprintf(size, sizeof(size), "%zx\r\n", aSize);
+    return "HTTP/1.1 200 OK\r\n" + kFields + "Transfer-Encoding: chunked\r\n\r\n" + size + body +
+           "\r\n0\r\n\r\n";
+  }
+  return (aForm == "HTTP/1.0" ? "HTTP/1.0" : "HTTP/1.1") + std::string(" 200 OK\r\n") + kFields +
+         "\r\n" + body;
+}
+
+// A VM whose only server answers a long upload as a script tells, once the upload has filled the
+// connection, so that the VM's write is pending.
+class VmWithUpload
+{
+public:
+  explicit VmWithUpload(ScriptedServer::Script aScript)
+    : script(std::move(aScript))
+    , server([this](RawSocket& aSocket) { this->Serve(aSocket); })
+  {
+    this->vm.SetRouting(MakeUploadRouting());
+    this->vm.UseServerAt(this->server.Port());
+    this->caller = std::make_unique<RawCaller>(this->vm.CallersPort());
+  }
+
+  // Sends the upload and returns the response; its status is 0 when the connection ends before the
+  // response is complete.
+  ReceivedResponse Upload(const std::string& aPath = "/book/x",
+                          const std::string& aVersion = "HTTP/1.1")
+  {
+    const std::string body(kUpload, 'u');
+    std::thread writer([&] {
+      this->caller->Head(
+        aPath, "Content-Length: " + std::to_string(kUpload) + "\r\n", aVersion, "20000");
+      this->caller->Write(body);
+    });
+    const ReceivedResponse answer = this->caller->Read();
+    this->caller->Shutdown();
+    writer.join();
+    return answer;
+  }
+  OneVm& Vm() { return this->vm; }
+
+private:
+  void Serve(RawSocket& aSocket)
+  {
+    if (aSocket.ReadUntil("\r\n\r\n").empty()) {
+      // A probe that only connects.
+      return;
+    }
+    constexpr int kCalmChecks = 20;
+    int unread = 0;
+    int calm = 0;
+    CHECK(Await([&] {
+      const bool isCalm = aSocket.Unread() == unread && !this->caller->CanWrite();
+      calm = isCalm ? calm + 1 : 0;
+      unread = aSocket.Unread();
+      return calm == kCalmChecks;
+    }));
+    this->script(aSocket);
+  }
+
+  OneVm vm;
+  ScriptedServer::Script script;
+  std::unique_ptr<RawCaller> caller;
+  ScriptedServer server;
+};
+
+// The write of the upload got the reset, and the read after it an ordinary end of the connection.
+TEST_CASE("A response that a reset cuts while the upload is written isn't forwarded as whole")
+{
+  struct Case
+  {
+    std::string form;
+    std::size_t sent;
+    // The bytes that are missing at the end.
+    std::size_t missing;
+    unsigned status;
+  };
+  const Case cases[] = {
+    { "no length", kSmall, 0, 502 },
+    { "no length", kMedium, 0, 502 },
+    { "HTTP/1.0", kMedium, 0, 502 },
+    { "length", kMedium, 1, 502 },
+    { "chunks", kMedium, 1, 502 },
+    // These state their own end.
+    { "length", kMedium, 0, 200 },
+    { "chunks", kMedium, 0, 200 },
+  };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.form, entry.sent, entry.missing);
+    VmWithUpload vm([&](RawSocket& aSocket) {
+      std::string bytes = Bytes(entry.form, entry.sent);
+      bytes.resize(bytes.size() - entry.missing);
+      aSocket.Send(bytes);
+      CHECK(aSocket.AwaitSent());
+      // The VM waits for more of the response again.
+      std::this_thread::sleep_for(milliseconds(50));
+      aSocket.Reset();
+    });
+    CHECK(vm.Upload().result_int() == entry.status);
+  }
+}
+
+TEST_CASE("A response that ends before its connection is reset is forwarded")
+{
+  struct Case
+  {
+    std::string name;
+    // The VM sees the end and the reset at once.
+    bool isSeenAtOnce;
+  };
+  const Case cases[] = { { "seen one after the other", false }, { "seen at once", true } };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.name);
+    std::function<void(const std::function<void()>&)> whileBlocked;
+    VmWithUpload vm([&](RawSocket& aSocket) {
+      aSocket.Send(Bytes("no length", kMedium));
+      CHECK(aSocket.AwaitSent());
+      const auto end = [&] {
+        aSocket.Finish();
+        std::this_thread::sleep_for(milliseconds(50));
+        aSocket.Reset();
+      };
+      if (entry.isSeenAtOnce) {
+        whileBlocked(end);
+      } else {
+        end();
+      }
+    });
+    whileBlocked = [&vm](const std::function<void()>& aAction) { vm.Vm().WhileBlocked(aAction); };
+    const ReceivedResponse answer = vm.Upload();
+    CHECK(answer.result_int() == 200);
+    CHECK((answer.body() == std::string(kMedium, 'b')));
+  }
+}
+
+TEST_CASE("A response that a reset cuts after the request is written isn't forwarded as whole")
+{
+  for (const std::size_t size : { kSmall, kLarge }) {
+    CAPTURE(size);
+    OneVm vm;
+    ScriptedServer server([&](RawSocket& aSocket) {
+      const std::string head = aSocket.ReadUntil("\r\n\r\n");
+      if (head.empty()) {
+        return;
+      }
+      const std::size_t at = head.find("X-Plantainhaven-Request-Id: ");
+      std::string bytes = Bytes("no length", size);
+      bytes.replace(bytes.find("raw-1"), 5, head.substr(at + 28, head.find("\r\n", at) - at - 28));
+      aSocket.Send(bytes);
+      CHECK(aSocket.AwaitSent());
+      aSocket.Reset();
+    });
+    vm.UseServerAt(server.Port());
+    const unsigned status = vm.SendRequest(http::verb::post, "/book/x").result_int();
+    CHECK(status == (size == kSmall ? 502 : 0));
+  }
+}
+
+} // namespace
+} // namespace plantainhaven::edge
