Forward a long response to an upload that the server doesn't read

What callers saw: a sound response of 400,000 bytes to an upload cut after its first part, whatever its framing, so that a server that rejects or answers a long upload at once couldn't be heard. Cause: once 256 KiB of a response are there, the rest of the upload isn't sent. Ending it cancels the read of the caller's body, and that was taken for a caller that broke off: the writer closed the connection on which the response was arriving. Shorter responses were there whole by then. Traced by a line at the two places: "writer closes: body fault Operation canceled, cancelled", then "ReadMore fault Bad file descriptor", in each of six cases over 256 KiB. Why this fix works: only a body that failed by itself closes the connection. After a failed write no more of the caller's body is read either.

--- a/src/edge/exchange.cc
+++ b/src/edge/exchange.cc
@@ -218,13 +218,13 @@
     request.body().size = part.size();
     request.body().more = !isLast;
     fault = co_await this->stream->Write(serializer);
-    if (isLast) {
+    if (fault || isLast) {
       break;
     }
     part = co_await aBody.ReadMore();
   }
   this->isIncomplete = fault || !aBody.IsWhole();
-  if (aBody.Fault()) {
+  if (aBody.Fault() && !aBody.IsCancelled()) {
     // The server would wait for the rest of a body that the caller won't send.
     this->upstream->stream.close();
   }
--- a/test/http/raw_peer.h
+++ b/test/http/raw_peer.h
@@ -98,15 +98,6 @@
     });
   }
 
-  // Waits until the other end has closed, without reading what it has sent.
-  bool AwaitClose() const
-  {
-    return Await([this] {
-      pollfd entry{ this->descriptor, POLLRDHUP, 0 };
-      return ::poll(&entry, 1, 0) > 0;
-    });
-  }
-
   // Sends nothing more.
   void Finish() const { ::shutdown(this->descriptor, SHUT_WR); }
 
--- a/test/responses/early_response_test.cc
+++ b/test/responses/early_response_test.cc
@@ -4,6 +4,7 @@
 #include "edge/raw_caller.h"
 #include "http/raw_peer.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <cstdio>
@@ -95,10 +96,16 @@
       this->caller->Write(body);
     });
     const ReceivedResponse answer = this->caller->Read();
+    this->hasResponse = true;
     this->caller->Shutdown();
     writer.join();
     return answer;
   }
+  // Waits until the caller has the response.
+  void AwaitResponse() const
+  {
+    CHECK(Await([this] { return this->hasResponse.load(); }));
+  }
   OneVm& Vm() { return this->vm; }
 
 private:
@@ -123,6 +130,7 @@
   OneVm vm;
   ScriptedServer::Script script;
   std::unique_ptr<RawCaller> caller;
+  std::atomic<bool> hasResponse{ false };
   ScriptedServer server;
 };
 
@@ -141,6 +149,8 @@
     { "no length", kSmall, 0, 502 },
     { "no length", kMedium, 0, 502 },
     { "HTTP/1.0", kMedium, 0, 502 },
+    // Its first part was forwarded, so the caller's connection ends early.
+    { "no length", kLarge, 0, 0 },
     { "length", kMedium, 1, 502 },
     { "chunks", kMedium, 1, 502 },
     // These state their own end.
@@ -195,6 +205,34 @@
   }
 }
 
+// The end of the unread upload closed the connection on which the response was arriving.
+TEST_CASE("A long response to an upload that isn't read to its end reaches the caller whole")
+{
+  struct Case
+  {
+    std::string form;
+    std::size_t size;
+  };
+  const Case cases[] = {
+    { "length", kMedium },     { "chunks", kMedium },     { "no length", kMedium },
+    { "length", kLarge },      { "chunks", kLarge },      { "no length", kLarge },
+    { "length", 10 * kLarge }, { "chunks", 10 * kLarge }, { "no length", 10 * kLarge },
+  };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.form, entry.size);
+    VmWithUpload vm([&](RawSocket& aSocket) {
+      aSocket.Send(Bytes(entry.form, entry.size));
+      if (entry.form == "no length") {
+        aSocket.Finish();
+      }
+      vm.AwaitResponse();
+    });
+    const ReceivedResponse answer = vm.Upload();
+    CHECK(answer.result_int() == 200);
+    CHECK((answer.body() == std::string(entry.size, 'b')));
+  }
+}
+
 TEST_CASE("A response that a reset cuts after the request is written isn't forwarded as whole")
 {
   for (const std::size_t size : { kSmall, kLarge }) {
