Log how responses end that are forwarded in parts

What operators saw: requests that no line of the log named after they were sent. A response of over 256 KiB is forwarded while it arrives, and neither its end nor a cut was logged or counted. Now event=served names it when it is whole, event=response_cut when it isn't, with the end that broke off and the error; plantainhaven_responses_cut_total counts the cuts. The test of resets checks the counter.

--- a/src/edge/exchange.cc
+++ b/src/edge/exchange.cc
@@ -301,6 +301,7 @@
     const beast::error_code fault = co_await this->stream->ReadPart(this->body, kPartBytes);
     if (fault) {
       this->outcome = IsTimeout(fault) ? SendOutcome::kTimeout : SendOutcome::kBroken;
+      this->errorText = fault.message();
       this->body.clear();
       break;
     }
--- a/src/edge/request_run.cc
+++ b/src/edge/request_run.cc
@@ -402,6 +402,11 @@
   }
   const Next next = co_await this->ForwardResponse(exchange);
   this->RecordTime(aSlot);
+  if (next == Next::kClose) {
+    this->LogCut(aServer, aAttempt);
+  } else {
+    this->LogServed(aServer, aAttempt, aSlot.StartedAt());
+  }
   const bool hasDisconnected = this->watch.HasDisconnected();
   this->watch.OnDisconnect(nullptr);
   aSlot.End(hasDisconnected ? SendOutcome::kAbandoned : aAttempt.Evidence());
@@ -552,6 +557,28 @@
         { "late", now > this->dispatchRequest.objectiveAt } });
 }
 
+void
+RequestRun::LogCut(const BackendServer& aServer, ServerAttempt& aAttempt) const
+{
+  const Exchange& exchange = aAttempt.HttpExchange();
+  const bool isByServer = exchange.Outcome() != SendOutcome::kServed;
+  this->state.metrics.Count(
+    "plantainhaven_responses_cut_total", "by", isByServer ? "server" : "caller");
+  Log(LogLevel::kInfo,
+      "response_cut",
+      { { "request", this->requestId },
+        { "route", this->route->name },
+        { "server", aServer.id },
+        { "service", aServer.service },
+        { "region", aServer.region },
+        { "relayed", aAttempt.IsRelayed() },
+        { "by", isByServer ? "server" : "caller" },
+        { "outcome", ToString(exchange.Outcome()) },
+        { "fault", exchange.Fault() },
+        { "held_ms", ToMilliseconds(BootClock::Now() - this->arrivedAt).count() },
+        { "left_ms", this->TimeLeft().count() } });
+}
+
 void
 RequestRun::LogFailure(const BackendServer& aServer, ServerAttempt& aAttempt) const
 {
--- a/src/edge/request_run.h
+++ b/src/edge/request_run.h
@@ -92,6 +92,8 @@
   }
   std::chrono::milliseconds TimeLeft() const;
   void LogFailure(const BackendServer& aServer, ServerAttempt& aAttempt) const;
+  // Logs that the caller's connection ended within the response, and at which end it broke.
+  void LogCut(const BackendServer& aServer, ServerAttempt& aAttempt) const;
   // Logs how long a served request spent waiting for its token, for a slot and for the server.
   void LogServed(const BackendServer& aServer, ServerAttempt& aAttempt, BootTime aSentAt) const;
 
--- a/test/edge/one_vm.h
+++ b/test/edge/one_vm.h
@@ -356,6 +356,10 @@
     this->second.SetHandler(handler);
   }
 
+  std::uint64_t Counter(const char* aName, const char* aLabel, const char* aValue) const
+  {
+    return this->metrics.Counter(aName, aLabel, aValue);
+  }
   std::size_t ReceivedCount() const
   {
     return this->first.Arrived().size() + this->second.Arrived().size();
--- a/test/responses/early_response_test.cc
+++ b/test/responses/early_response_test.cc
@@ -169,6 +169,8 @@
       aSocket.Reset();
     });
     CHECK(vm.Upload().result_int() == entry.status);
+    const std::uint64_t cuts = vm.Vm().Counter("plantainhaven_responses_cut_total", "by", "server");
+    CHECK(cuts == (entry.status == 0 ? 1 : 0));
   }
 }
 
