Treat a response in an unknown transfer coding as broken

What callers saw: bodies that weren't the server's, signed: coded bytes, or the framing of chunks within the body. The field that said so isn't passed on. Cause: the parser knows chunked as the last coding and ignores all others, and Transfer-Encoding is dropped as hop-by-hop. Evidence: "A response in a transfer coding that the VM doesn't decode isn't forwarded" failed before for gzip and identity with and without a length, "gzip, chunked", "chunked, gzip", "chunked, chunked", xchunked, a parameter, an empty field and codings in two fields; chunked with a length and in two fields held. Why this fix works: FramingOf() accepts one coding, chunked, with no length beside it. A response without a body may name any. "A response in chunks is forwarded however the coding is written" holds as before. The table of malformed heads holds without a change: blanks, tabs, control bytes, DEL, NUL and bytes over 127 in names, no name, blanks before colons, no colon, control bytes in values, bare CR and LF.

--- a/include/plantainhaven/policy/response/response_rules.h
+++ b/include/plantainhaven/policy/response/response_rules.h
@@ -32,7 +32,8 @@
 // Why a response must not be used.
 enum class ResponseFault
 {
-  kStatus, // Not between 100 and 599.
+  kStatus,         // Not between 100 and 599.
+  kTransferCoding, // Another one than chunked, or a length beside it.
 };
 
 // The framing of a response's body, or why the response must not be used.
--- a/src/policy/response/response_rules.cc
+++ b/src/policy/response/response_rules.cc
@@ -1,5 +1,7 @@
 #include "plantainhaven/policy/response/response_rules.h"
 
+#include <boost/algorithm/string/predicate.hpp>
+
 namespace plantainhaven {
 namespace {
 
@@ -17,6 +19,13 @@
          aFacts.status == kNotModified;
 }
 
+bool
+IsChunked(const ResponseFacts& aFacts)
+{
+  return aFacts.transferCodings.size() == 1 &&
+         boost::algorithm::iequals(aFacts.transferCodings.front(), "chunked");
+}
+
 } // namespace
 
 std::variant<Framing, ResponseFault>
@@ -29,7 +38,9 @@
     return Framing::kNone;
   }
   if (!aFacts.transferCodings.empty()) {
-    return Framing::kChunked;
+    const bool isSound = IsChunked(aFacts) && aFacts.lengths == 0;
+    return isSound ? std::variant<Framing, ResponseFault>(Framing::kChunked)
+                   : ResponseFault::kTransferCoding;
   }
   return aFacts.lengths > 0 ? Framing::kLength : Framing::kUntilClose;
 }
--- a/src/wire/client_stream.cc
+++ b/src/wire/client_stream.cc
@@ -105,8 +105,9 @@
     facts.transferCodings.emplace_back(coding->value().data(), coding->value().size());
   }
   const auto checked = FramingOf(facts);
-  if (std::holds_alternative<ResponseFault>(checked)) {
-    return http::error::bad_status;
+  if (const ResponseFault* const fault = std::get_if<ResponseFault>(&checked)) {
+    return *fault == ResponseFault::kStatus ? http::error::bad_status
+                                            : http::error::bad_transfer_encoding;
   }
   this->framing = std::get<Framing>(checked);
   return {};
--- a/test/policy/response/response_rules_test.cc
+++ b/test/policy/response/response_rules_test.cc
@@ -36,6 +36,12 @@
   const Case cases[] = {
     { "length", { .status = 200, .lengths = 1 }, Framing::kLength },
     { "chunks", { .status = 200, .transferCodings = { "chunked" } }, Framing::kChunked },
+    { "chunks in capitals",
+      { .status = 200, .transferCodings = { "CHUNKED" } },
+      Framing::kChunked },
+    { "coded, to HEAD",
+      { .status = 200, .isToHead = true, .transferCodings = { "gzip" } },
+      Framing::kNone },
     { "neither", { .status = 200 }, Framing::kUntilClose },
     { "failure without a length", { .status = 500 }, Framing::kUntilClose },
     { "to HEAD", { .status = 200, .isToHead = true, .lengths = 1 }, Framing::kNone },
@@ -49,6 +55,30 @@
   }
 }
 
+TEST_CASE("Transfer codings other than chunked alone are faults")
+{
+  struct Case
+  {
+    const char* name;
+    ResponseFacts facts;
+  };
+  const Case cases[] = {
+    { "another", { .status = 200, .transferCodings = { "gzip" } } },
+    { "chunked and another", { .status = 200, .transferCodings = { "gzip, chunked" } } },
+    { "in two fields", { .status = 200, .transferCodings = { "gzip", "chunked" } } },
+    { "chunked twice", { .status = 200, .transferCodings = { "chunked", "chunked" } } },
+    { "a longer name", { .status = 200, .transferCodings = { "xchunked" } } },
+    { "none", { .status = 200, .transferCodings = { "" } } },
+    { "beside a length", { .status = 200, .lengths = 1, .transferCodings = { "chunked" } } },
+  };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.name);
+    const auto checked = FramingOf(entry.facts);
+    REQUIRE(std::holds_alternative<ResponseFault>(checked));
+    CHECK(std::get<ResponseFault>(checked) == ResponseFault::kTransferCoding);
+  }
+}
+
 TEST_CASE("A body that ends with the connection is whole only if that ended in order")
 {
   struct Case
