Treat a response of HTTP/1.0 in chunks as broken

What callers saw: a response whose framing is faulty by RFC 9112, section 6.1, as a sound one: chunks aren't part of HTTP/1.0, so its bytes may be meant as the body or have been changed on the way. Cause: the parser reads chunks whatever the version. Evidence: "A response of HTTP/1.0 in chunks isn't forwarded" failed before. Why this fix works: the version is one of the facts that FramingOf() decides by.

--- a/include/plantainhaven/policy/response/response_rules.h
+++ b/include/plantainhaven/policy/response/response_rules.h
@@ -21,6 +21,7 @@
 {
   // As in the status line.
   int status = 0;
+  bool isHttp10 = false;
   // The request's method is HEAD.
   bool isToHead = false;
   // Number of Content-Length fields.
@@ -33,7 +34,7 @@
 enum class ResponseFault
 {
   kStatus,         // Not between 100 and 599.
-  kTransferCoding, // Another one than chunked, or a length beside it.
+  kTransferCoding, // Another one than chunked, a length beside it, or any in HTTP/1.0.
 };
 
 // The framing of a response's body, or why the response must not be used.
--- a/src/policy/response/response_rules.cc
+++ b/src/policy/response/response_rules.cc
@@ -38,7 +38,7 @@
     return Framing::kNone;
   }
   if (!aFacts.transferCodings.empty()) {
-    const bool isSound = IsChunked(aFacts) && aFacts.lengths == 0;
+    const bool isSound = IsChunked(aFacts) && aFacts.lengths == 0 && !aFacts.isHttp10;
     return isSound ? std::variant<Framing, ResponseFault>(Framing::kChunked)
                    : ResponseFault::kTransferCoding;
   }
--- a/src/wire/client_stream.cc
+++ b/src/wire/client_stream.cc
@@ -7,6 +7,7 @@
 namespace plantainhaven::wire {
 namespace {
 
+constexpr unsigned kHttp11 = 11;
 // Interim responses that are skipped before the response.
 constexpr int kMaxInterimResponses = 3;
 constexpr unsigned kFirstFinalStatus = 200;
@@ -98,6 +99,7 @@
 {
   const Head& parsed = this->parser->get().base();
   ResponseFacts facts{ .status = static_cast<int>(parsed.result_int()),
+                       .isHttp10 = parsed.version() < kHttp11,
                        .isToHead = aIsToHead,
                        .lengths = parsed.count(http::field::content_length) };
   const auto codings = parsed.equal_range(http::field::transfer_encoding);
--- a/test/policy/response/response_rules_test.cc
+++ b/test/policy/response/response_rules_test.cc
@@ -69,6 +69,7 @@
     { "chunked twice", { .status = 200, .transferCodings = { "chunked", "chunked" } } },
     { "a longer name", { .status = 200, .transferCodings = { "xchunked" } } },
     { "none", { .status = 200, .transferCodings = { "" } } },
+    { "in HTTP/1.0", { .status = 200, .isHttp10 = true, .transferCodings = { "chunked" } } },
     { "beside a length", { .status = 200, .lengths = 1, .transferCodings = { "chunked" } } },
   };
   for (const Case& entry : cases) {
--- a/test/responses/broken_response_test.cc
+++ b/test/responses/broken_response_test.cc
@@ -128,6 +128,12 @@
   }
 }
 
+// RFC 9112, section 6.1: such a message is to be treated as if its framing were faulty.
+TEST_CASE("A response of HTTP/1.0 in chunks isn't forwarded")
+{
+  CheckNotForwarded({ "HTTP/1.0", InChunks("HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n") });
+}
+
 TEST_CASE("A response in chunks is forwarded however the coding is written")
 {
   for (const char* const fields :
