Treat a response that names two requests as broken

What callers saw: a response that carried another request's id beside theirs, which may be the other's. Cause: only the first field with the id was read. Evidence: "A response that names two requests isn't forwarded" failed before with the other id, or an empty one, last; with the other one first it held. Why this fix works: the fields must agree before the id is compared.

--- a/src/edge/exchange.cc
+++ b/src/edge/exchange.cc
@@ -56,6 +56,16 @@
   return aFault == beast::error::timeout;
 }
 
+// Whether the response's fields with the request's id differ.
+bool
+NamesTwoRequests(const ServerHead& aHead)
+{
+  const auto ids = aHead.equal_range(platform::kRequestIdHeader);
+  return std::any_of(ids.first, ids.second, [&ids](const auto& aField) {
+    return aField.value() != ids.first->value();
+  });
+}
+
 // The idle limit derived from the seconds of "timeout=N" in the Keep-Alive field.
 std::chrono::milliseconds
 IdleLimitOf(const ServerHead& aHead)
@@ -251,6 +261,9 @@
     if (fault) {
       co_return fault;
     }
+    if (NamesTwoRequests(this->Head())) {
+      co_return http::error::bad_field;
+    }
     const auto id = this->Head()[platform::kRequestIdHeader];
     if (id.empty() || id == this->requestId) {
       co_return beast::error_code();
--- a/test/responses/broken_response_test.cc
+++ b/test/responses/broken_response_test.cc
@@ -134,6 +134,23 @@
   CheckNotForwarded({ "HTTP/1.0", InChunks("HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n") });
 }
 
+TEST_CASE("A response that names two requests isn't forwarded")
+{
+  const Case cases[] = {
+    { "the other one last", WithFields("X-Plantainhaven-Request-Id: other\r\n") },
+    { "the other one first",
+      [](const FakeRequest& aRequest) {
+        return FakeAnswer{ "HTTP/1.1 200 OK\r\nX-Plantainhaven-Request-Id: other\r\n" +
+                             IdLine(aRequest) + kSignatureLine + "Content-Length: 5\r\n\r\nwrong",
+                           true };
+      } },
+    { "no name last", WithFields("X-Plantainhaven-Request-Id:\r\n") },
+  };
+  for (const Case& entry : cases) {
+    CheckNotForwarded(entry);
+  }
+}
+
 TEST_CASE("A response in chunks is forwarded however the coding is written")
 {
   for (const char* const fields :
