Treat a response with a folded line in its head as broken

What callers saw: with a line that begins with a blank, so that the blank stands where a field's name should, the line was joined to the field before it and passed on: the signature reached the caller as "sig : a". Cause: the parser still joins folded lines, which HTTP/1.1 has dropped (RFC 9112, section 5.2: a gateway discards such a response or writes blanks in their place). Evidence: the case "blank as a name" of "A response whose head is malformed isn't forwarded" failed before; after the status line such a line was refused, so where it stands matters. Why this fix works: ClientStream looks at the bytes of the head before the parser gets them. Heads that can't become one are refused as early as before.

--- a/include/plantainhaven/policy/response/response_rules.h
+++ b/include/plantainhaven/policy/response/response_rules.h
@@ -41,6 +41,11 @@
 std::variant<Framing, ResponseFault>
 FramingOf(const ResponseFacts& aFacts);
 
+// Whether a line of the head begins with a blank or a tab, and so continues the field before it.
+// HTTP/1.1 has no such lines any more, and two programs may read them differently.
+bool
+HasFoldedLine(std::string_view aHead);
+
 // How the other end stopped sending, as far as the errors of all reads and writes tell.
 enum class ConnectionEnd
 {
--- a/src/policy/response/response_rules.cc
+++ b/src/policy/response/response_rules.cc
@@ -45,6 +45,13 @@
   return aFacts.lengths > 0 ? Framing::kLength : Framing::kUntilClose;
 }
 
+bool
+HasFoldedLine(std::string_view aHead)
+{
+  return aHead.find("\r\n ") != std::string_view::npos ||
+         aHead.find("\r\n\t") != std::string_view::npos;
+}
+
 bool
 IsWhole(Framing aFraming, bool isComplete, ConnectionEnd aEnd)
 {
--- a/src/wire/client_stream.cc
+++ b/src/wire/client_stream.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr unsigned kHttp11 = 11;
+constexpr std::size_t kReadBytes = 64 << 10;
 // Interim responses that are skipped before the response.
 constexpr int kMaxInterimResponses = 3;
 constexpr unsigned kFirstFinalStatus = 200;
@@ -76,9 +77,7 @@
     this->parser->header_limit(this->limits.headBytes);
     this->parser->body_limit(this->limits.bodyBytes);
     this->parser->skip(aIsToHead);
-    beast::error_code fault;
-    co_await http::async_read_header(
-      this->stream, this->buffer, *this->parser, asio::redirect_error(asio::use_awaitable, fault));
+    beast::error_code fault = co_await this->ParseHead();
     if (fault) {
       co_return fault;
     }
@@ -94,6 +93,49 @@
   co_return http::error::bad_status;
 }
 
+asio::awaitable<beast::error_code>
+ClientStream::ParseHead()
+{
+  beast::error_code fault;
+  while (!fault && !this->parser->is_header_done()) {
+    if (HasFoldedLine(this->BufferedHead())) {
+      co_return http::error::bad_obs_fold;
+    }
+    const std::size_t parsed = this->parser->put(this->buffer.data(), fault);
+    this->buffer.consume(parsed);
+    if (fault == http::error::need_more) {
+      fault = co_await this->Receive();
+    }
+  }
+  co_return fault;
+}
+
+std::string_view
+ClientStream::BufferedHead() const
+{
+  const auto bytes = this->buffer.data();
+  const std::string_view text(static_cast<const char*>(bytes.data()), bytes.size());
+  // The rest is part of the body, or of another response.
+  return text.substr(0, text.find("\r\n\r\n"));
+}
+
+asio::awaitable<beast::error_code>
+ClientStream::Receive()
+{
+  const std::size_t size = beast::read_size(this->buffer, kReadBytes);
+  if (size == 0) {
+    co_return http::error::buffer_overflow;
+  }
+  beast::error_code fault;
+  const std::size_t received = co_await this->stream.async_read_some(
+    this->buffer.prepare(size), asio::redirect_error(asio::use_awaitable, fault));
+  this->buffer.commit(received);
+  if (fault == asio::error::eof) {
+    fault = this->parser->got_some() ? http::error::partial_message : http::error::end_of_stream;
+  }
+  co_return fault;
+}
+
 beast::error_code
 ClientStream::CheckHead(bool aIsToHead)
 {
--- a/src/wire/client_stream.h
+++ b/src/wire/client_stream.h
@@ -10,12 +10,14 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace plantainhaven::wire {
 
@@ -83,6 +85,11 @@
 
 private:
   beast::error_code EndWrite(beast::error_code aFault);
+  // Reads and parses a head. The parser would join folded lines without a word.
+  asio::awaitable<beast::error_code> ParseHead();
+  // What was received of the head and isn't parsed yet.
+  std::string_view BufferedHead() const;
+  asio::awaitable<beast::error_code> Receive();
   // Whether the parsed head is one of HTTP/1.1, by the rules of policy/response.
   beast::error_code CheckHead(bool aIsToHead);
   void TakeHead();
--- a/test/policy/response/response_rules_test.cc
+++ b/test/policy/response/response_rules_test.cc
@@ -80,6 +80,26 @@
   }
 }
 
+TEST_CASE("Folded lines are found")
+{
+  struct Case
+  {
+    const char* head;
+    bool isFolded;
+  };
+  const Case cases[] = {
+    { "HTTP/1.1 200 OK\r\nA: b\r\nC: d\r\n\r\n", false },
+    { "HTTP/1.1 200 OK\r\nA: b\r\n : c\r\n\r\n", true },
+    { "HTTP/1.1 200 OK\r\nA: b\r\n\tc\r\n\r\n", true },
+    { "HTTP/1.1 200 OK\r\n A: b\r\n\r\n", true },
+    { "A: b\t \r\n\r\n", false },
+  };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.head);
+    CHECK(HasFoldedLine(entry.head) == entry.isFolded);
+  }
+}
+
 TEST_CASE("A body that ends with the connection is whole only if that ended in order")
 {
   struct Case
--- a/test/responses/broken_response_test.cc
+++ b/test/responses/broken_response_test.cc
@@ -85,6 +85,7 @@
     { "DEL in a name", WithFields("X\x7fY: a\r\n") },
     { "NUL in a name", WithFields(std::string("X\0Y: a\r\n", 8)) },
     { "byte over 127 in a name", WithFields("X\xe9Y: a\r\n") },
+    { "blank as a name", WithFields(" : a\r\n") },
     { "control byte as a name", WithFields("\x01: a\r\n") },
     { "no name", WithFields(": a\r\n") },
     { "blank before the colon", WithFields("X-Field : a\r\n") },
