Send callers of HTTP/1.0 no chunks

What callers saw: a caller of HTTP/1.0 got a long response without a stated length in chunks, which it takes for part of the body (RFC 9112, section 7.1: chunks are HTTP/1.1's). Cause: a response that is forwarded while it arrives was sent in chunks whenever its length wasn't known. Evidence: "A caller of HTTP/1.0 gets the body as the server has sent it" failed before for 400,000 bytes in chunks and without a length, whether or not the caller asked to keep its connection. Why this fix works: such a response ends with the connection, and says that it does. One that is cut ends with a reset, since an ordinary end would make it look whole.

--- a/src/edge/caller_response.cc
+++ b/src/edge/caller_response.cc
@@ -10,6 +10,7 @@
 
 // Timeout for each write to the caller.
 constexpr std::chrono::seconds kWriteTimeout{ 20 };
+constexpr unsigned kHttp11 = 11;
 
 template<typename Message>
 void
@@ -74,11 +75,12 @@
   response.version(this->form.version);
   CopyFields(aExchange.Head(), response);
   this->SetOutcome(response);
-  response.keep_alive(this->form.keepsAlive);
   const auto length = aExchange.ContentLength();
+  this->endsWithConnection = !length && this->form.version < kHttp11;
+  response.keep_alive(this->form.keepsAlive && !this->endsWithConnection);
   if (length) {
     response.content_length(*length);
-  } else {
+  } else if (!this->endsWithConnection) {
     response.chunked(true);
   }
   http::response_serializer<http::buffer_body> serializer(response);
@@ -89,8 +91,7 @@
   while (!fault) {
     const bool isLast = part.empty();
     if (isLast && !aExchange.IsWhole()) {
-      // The response is truncated. Closing the connection before its end signals that to the
-      // caller.
+      this->SignalCut();
       co_return false;
     }
     response.body().data = isLast ? nullptr : part.data();
@@ -109,6 +110,18 @@
   co_return !fault;
 }
 
+// Closing the connection before the end of the response signals to the caller that it is truncated.
+// Where that would be its end, only a reset does.
+void
+CallerResponse::SignalCut()
+{
+  if (this->endsWithConnection) {
+    beast::error_code ignored;
+    this->caller.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    this->caller.close();
+  }
+}
+
 Task<bool>
 CallerResponse::Refuse(const Refusal& aRefusal, std::string_view aRequestId)
 {
--- a/src/edge/caller_response.h
+++ b/src/edge/caller_response.h
@@ -44,14 +44,19 @@
   // sent completely; the caller's connection must be closed in that case.
   Task<bool> Forward(Exchange& aExchange);
   Task<bool> Refuse(const Refusal& aRefusal, std::string_view aRequestId);
+  // The end of the connection is the end of the response, so the connection must be closed after
+  // it.
+  bool EndsWithConnection() const { return this->endsWithConnection; }
 
 private:
   Task<bool> ForwardBuffered(Exchange& aExchange);
   Task<bool> ForwardStream(Exchange& aExchange);
+  void SignalCut();
   void SetOutcome(http::fields& aFields) const;
 
   beast::tcp_stream& caller;
   Form form;
+  bool endsWithConnection = false;
 };
 
 } // namespace plantainhaven::edge
--- a/src/edge/relay_run.cc
+++ b/src/edge/relay_run.cc
@@ -190,7 +190,7 @@
     co_return false;
   }
   aExchange.Finish();
-  co_return this->KeepsAlive();
+  co_return this->KeepsAlive() && !response.EndsWithConnection();
 }
 
 Task<bool>
--- a/src/edge/request_run.cc
+++ b/src/edge/request_run.cc
@@ -494,6 +494,9 @@
     aExchange.Cancel();
     co_return Next::kClose;
   }
+  if (response.EndsWithConnection()) {
+    this->request.keep_alive(false);
+  }
   aExchange.Finish();
   co_return Next::kDone;
 }
--- a/test/responses/early_response_test.cc
+++ b/test/responses/early_response_test.cc
@@ -235,6 +235,51 @@
   }
 }
 
+TEST_CASE("A caller of HTTP/1.0 gets the body as the server has sent it")
+{
+  struct Case
+  {
+    std::string form;
+    std::size_t size;
+    bool isCut;
+  };
+  const Case cases[] = {
+    { "length", kLarge, false },    { "chunks", kLarge, false },     { "chunks", kMedium, false },
+    { "no length", kLarge, false }, { "no length", kMedium, false }, { "no length", kLarge, true },
+    { "chunks", kLarge, true },
+  };
+  for (const Case& entry : cases) {
+    // A caller that asks to keep the connection must not wait for more.
+    for (const std::string fields : { "", "Connection: keep-alive\r\n" }) {
+      CAPTURE(entry.form, entry.size, entry.isCut, fields);
+      OneVm vm;
+      ScriptedServer server([&](RawSocket& aSocket) {
+        if (aSocket.ReadUntil("\r\n\r\n").empty()) {
+          return;
+        }
+        std::string bytes = Bytes(entry.form, entry.size);
+        bytes.resize(bytes.size() - (entry.isCut ? kSmall : 0));
+        aSocket.Send(bytes);
+        CHECK(aSocket.AwaitSent());
+        if (entry.isCut) {
+          aSocket.Reset();
+        } else {
+          aSocket.Finish();
+        }
+      });
+      vm.UseServerAt(server.Port());
+      RawCaller caller(vm.CallersPort());
+      caller.Head("/book/x", "Content-Length: 0\r\n" + fields, "HTTP/1.0");
+      const ReceivedResponse answer = caller.Read();
+      CHECK(answer.result_int() == (entry.isCut ? 0 : 200));
+      if (!entry.isCut) {
+        CHECK_FALSE(answer.chunked());
+        CHECK((answer.body() == std::string(entry.size, 'b')));
+      }
+    }
+  }
+}
+
 TEST_CASE("A response that a reset cuts after the request is written isn't forwarded as whole")
 {
   for (const std::size_t size : { kSmall, kLarge }) {
