--- a/test/standin/store_contract_test.cc
+++ b/test/standin/store_contract_test.cc
@@ -4,11 +4,11 @@
 #include "edge/context.h"
 #include "edge/net.h"
 #include "platform/store_client.h"
+#include "support/await_result.h"
 
 #include <catch2/catch.hpp>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -116,15 +116,16 @@
 
   Result<std::uint64_t> Write(const std::vector<ConditionalPut>& aPuts) override
   {
-    return this->Wait<std::uint64_t>(this->client.Write(kTable, aPuts));
+    return AwaitResult<std::uint64_t>(this->context, this->client.Write(kTable, aPuts));
   }
   Result<TableSnapshot> Read() override
   {
-    return this->Wait<TableSnapshot>(this->client.ReadTable(kTable));
+    return AwaitResult<TableSnapshot>(this->context, this->client.ReadTable(kTable));
   }
   Result<TableChanges> Changes(std::uint64_t aAfter) override
   {
-    return this->Wait<TableChanges>(this->client.ReadChanges(kTable, aAfter, milliseconds(20)));
+    return AwaitResult<TableChanges>(this->context,
+                                     this->client.ReadChanges(kTable, aAfter, milliseconds(20)));
   }
   void Remove(const std::string& aKey) override { this->store.Remove(kTable, aKey); }
   void ForgetHistory() override { this->store.ForgetHistory(); }
@@ -140,22 +141,6 @@
   }
 
 private:
-  template<typename Value>
-  Result<Value> Wait(edge::Task<Result<Value>> aTask)
-  {
-    std::optional<Result<Value>> result;
-    edge::asio::co_spawn(
-      this->context,
-      [](edge::Task<Result<Value>> aInner, std::optional<Result<Value>>& aInto)
-        -> edge::Task<void> { aInto = co_await std::move(aInner); }(std::move(aTask), result),
-      edge::asio::detached);
-    this->context.restart();
-    while (!result && this->context.run_one_for(std::chrono::seconds(5)) > 0) {
-    }
-    REQUIRE(result);
-    return *result;
-  }
-
   edge::Context context;
   int calls = 0;
   StoreStandin store;
