--- a/test/edge/endless_response_test.cc
+++ b/test/edge/endless_response_test.cc
@@ -1,12 +1,11 @@
 #include "edge/exchange.h"
 
 #include "edge/one_vm.h"
+#include "support/peak_memory.h"
 
 #include <catch2/catch.hpp>
-#include <fstream>
 #include <functional>
 #include <string>
-#include <unistd.h>
 
 namespace plantainhaven::edge {
 namespace {
@@ -16,17 +15,6 @@
 // Growth of the process that one endless response may cause at most; a VM has a few hundred MB.
 constexpr long kMaxGrowthBytes = 32 << 20;
 
-// Size of this process in memory.
-long
-ResidentBytes()
-{
-  std::ifstream file("/proc/self/statm");
-  long total = 0;
-  long resident = 0;
-  file >> total >> resident;
-  return resident * ::sysconf(_SC_PAGESIZE);
-}
-
 std::string
 Repeat(const std::string& aText)
 {
--- a/test/responses/store_response_test.cc
+++ b/test/responses/store_response_test.cc
@@ -3,6 +3,7 @@
 #include "edge/context.h"
 #include "http/raw_peer.h"
 #include "support/await_result.h"
+#include "support/peak_memory.h"
 
 #include <atomic>
 #include <catch2/catch.hpp>
@@ -16,6 +17,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTimeout{ 300 };
+// As much as the largest response that the client accepts, and once more while it is read.
+constexpr long kMaxGrowthBytes = 48 << 20;
 const std::string kRows = R"({"rows":[],"ver":7,"now_ms":1})";
 
 std::string
@@ -138,5 +141,53 @@
   }
 }
 
+TEST_CASE("A response of the store without end is cut off in bounded memory")
+{
+  const std::string filler(16384, 'a');
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  std::string lines;
+  std::string chunks;
+  std::string interim;
+  while (lines.size() < filler.size()) {
+    lines += "X-Field: a\r\n";
+    chunks += "1\r\nb\r\n";
+    interim += "HTTP/1.1 100 Continue\r\n\r\n";
+  }
+  struct Case
+  {
+    std::string name;
+    std::string begin;
+    std::string endless;
+  };
+  const Case cases[] = {
+    { "no line end", "x", filler },
+    { "field", ok + "X-Field: ", filler },
+    { "fields", ok, lines },
+    { "interim responses", "", interim },
+    { "body without a length", ok + "\r\n", filler },
+    { "chunk extension", ok + "Transfer-Encoding: chunked\r\n\r\n5;a=", filler },
+    { "tiny chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", chunks },
+    { "trailer", ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Field: ", filler },
+    { "bytes after the response", Response(1), filler },
+  };
+  for (const Case& entry : cases) {
+    CAPTURE(entry.name);
+    StoreSubject subject([&](RawSocket& aSocket) {
+      ReadCall(aSocket);
+      aSocket.Send(entry.begin);
+      while (aSocket.Send(entry.endless)) {
+      }
+    });
+    const PeakMemory memory;
+    const auto written = subject.Write();
+    const bool isAnswered = entry.name == "bytes after the response";
+    CHECK(IsOk(written) == isAnswered);
+    CHECK((isAnswered || ErrorOf(written).kind == ErrorKind::kUnknown));
+    // The client has closed the connection.
+    CHECK(IsOk(subject.Write()) == isAnswered);
+    CHECK(memory.Growth() < kMaxGrowthBytes);
+  }
+}
+
 } // namespace
 } // namespace plantainhaven::platform
