Parse the chunks of a response that are there at once

A response in chunks of one byte was parsed one chunk a read, and each read cleared a whole part of the body: the test of endless responses of the store took 41 s of processor time for 16 MB, and 1.8 s now. A faulty server could keep a VM's traffic thread busy in the same way. No test of its own: it would assert a time.

--- a/src/wire/client_stream.cc
+++ b/src/wire/client_stream.cc
@@ -165,6 +165,8 @@
   this->keepsAlive = this->parser->keep_alive();
   this->head = std::move(this->parser->get().base());
   this->isWhole = this->parser->is_done();
+  // Reads of many small chunks would otherwise return one at a time.
+  this->parser->eager(true);
 }
 
 asio::awaitable<beast::error_code>
