Read the answers of the older daemons' client by the same rules

What callers of plantain-entryd could see: an answer whose status has more than three digits as one with the first three, and an answer of HTTP/1.0 in chunks. Cause: the client looked at three characters of the status and had its own reading of the framing. Evidence: "An answer whose head is broken isn't taken" failed before for 2000, 200x and HTTP/1.0 in chunks. The other thirty shapes held, as do "An answer that a reset cuts isn't taken, whether or not the request was written" (the client writes the whole request before it reads, and a failed write ends the exchange) and "An answer without end is cut off in bounded memory", which the look-ups of health and the client of the platform get from it. Why this fix works: FramingOf() and IsWhole() of policy/response decide here too; the type Framing moves there. Measured: http_test, entry_test, platform_test, api_test and load_test pass.

--- a/src/http/exchange_stream.cc
+++ b/src/http/exchange_stream.cc
@@ -70,9 +70,12 @@
 bool
 ExchangeStream::HasWholeAnswer() const
 {
-  const bool endedInFrame =
-    this->Fault() == StreamFault::kEnd && this->head.frame.framing != Framing::kUntilClose;
-  return this->hasHead && !endedInFrame;
+  const Framing framing = this->head.frame.framing;
+  const bool hasEnded = this->Fault() == StreamFault::kEnd;
+  const bool isComplete = !hasEnded || framing == Framing::kUntilClose;
+  const bool isOrderly = hasEnded || this->Fault() == StreamFault::kNone;
+  return this->hasHead &&
+         IsWhole(framing, isComplete, isOrderly ? ConnectionEnd::kOrderly : ConnectionEnd::kBroken);
 }
 
 ExchangeFailure
--- a/src/http/text.cc
+++ b/src/http/text.cc
@@ -16,9 +16,6 @@
 constexpr int kHeadersTooLarge = 431;
 constexpr int kNotImplemented = 501;
 constexpr int kVersionNotSupported = 505;
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
-constexpr int kFirstFinalStatus = 200;
 
 constexpr std::array<std::string_view, 7> kMethods = { "GET",   "HEAD",   "POST",   "PUT",
                                                        "PATCH", "DELETE", "OPTIONS" };
@@ -109,7 +106,19 @@
          std::from_chars(aText.data(), end, aLength).ec == std::errc{};
 }
 
-// Finds the body's frame in Content-Length and Transfer-Encoding.
+// Reads the only Content-Length field.
+bool
+ParseLengthField(const HttpHeaders& aHeaders, BodyFrame& aFrame)
+{
+  if (aHeaders.CountOf("Content-Length") > 1 ||
+      !ParseLength(aHeaders.Get("Content-Length"), aFrame.length)) {
+    return false;
+  }
+  aFrame.framing = aFrame.length == 0 ? Framing::kNone : Framing::kLength;
+  return true;
+}
+
+// Finds the frame of a request's body in Content-Length and Transfer-Encoding.
 int
 ParseFrame(const HttpHeaders& aHeaders, BodyFrame& aFrame)
 {
@@ -123,14 +132,7 @@
     const bool isChunked = EqualIgnoringCase(aHeaders.Get("Transfer-Encoding"), "chunked");
     return isChunked ? 0 : kNotImplemented;
   }
-  if (lengths == 0) {
-    return 0;
-  }
-  if (lengths > 1 || !ParseLength(aHeaders.Get("Content-Length"), aFrame.length)) {
-    return kBadRequest;
-  }
-  aFrame.framing = aFrame.length == 0 ? Framing::kNone : Framing::kLength;
-  return 0;
+  return lengths == 0 || ParseLengthField(aHeaders, aFrame) ? 0 : kBadRequest;
 }
 
 int
@@ -165,6 +167,33 @@
          (aVersion == "HTTP/1.0" && !HasToken(aHeaders, "Connection", "keep-alive"));
 }
 
+// Reads what follows the version in a status line.
+bool
+ParseStatus(std::string_view aRest, int& aStatus)
+{
+  constexpr std::size_t digits = 3;
+  if (aRest.size() < 1 + digits || (aRest.size() > 1 + digits && aRest[1 + digits] != ' ')) {
+    return false;
+  }
+  const char* const first = aRest.data() + 1;
+  return std::from_chars(first, first + digits, aStatus).ptr == first + digits;
+}
+
+ResponseFacts
+FactsOf(const HttpResponse& aResponse, std::string_view aVersion, std::string_view aMethod)
+{
+  ResponseFacts facts{ .status = aResponse.status,
+                       .isHttp10 = aVersion == "HTTP/1.0",
+                       .isToHead = aMethod == "HEAD",
+                       .lengths = aResponse.headers.CountOf("Content-Length") };
+  for (const HttpHeader& field : aResponse.headers.All()) {
+    if (EqualIgnoringCase(field.name, "Transfer-Encoding")) {
+      facts.transferCodings.emplace_back(field.value);
+    }
+  }
+  return facts;
+}
+
 } // namespace
 
 bool
@@ -218,35 +247,29 @@
 bool
 ParseResponseHead(std::string_view aHead, std::string_view aMethod, ResponseHead& aParsed)
 {
-  constexpr std::size_t statusStart = 9;
-  constexpr std::size_t statusLength = 3;
   std::string_view rest = aHead;
   const std::string_view line = TakeLine(rest);
   const std::string_view version = line.substr(0, std::min(line.find(' '), line.size()));
+  HttpHeaders& headers = aParsed.response.headers;
   if ((version != "HTTP/1.1" && version != "HTTP/1.0") ||
-      line.size() < statusStart + statusLength) {
+      !ParseStatus(line.substr(version.size()), aParsed.response.status) ||
+      ParseHeaders(rest, headers) != 0) {
     return false;
   }
-  const char* status = line.data() + statusStart;
-  int& code = aParsed.response.status;
-  if (std::from_chars(status, status + statusLength, code).ptr != status + statusLength ||
-      code < 100 || code > 599) {
+  const auto framing = FramingOf(FactsOf(aParsed.response, version, aMethod));
+  if (std::holds_alternative<ResponseFault>(framing)) {
     return false;
   }
-  if (ParseHeaders(rest, aParsed.response.headers) != 0 ||
-      ParseFrame(aParsed.response.headers, aParsed.frame) != 0) {
+  // A response without a body may state the length that it would have.
+  BodyFrame stated;
+  if (headers.CountOf("Content-Length") > 0 && !ParseLengthField(headers, stated)) {
     return false;
   }
-  const HttpHeaders& headers = aParsed.response.headers;
-  aParsed.close = AsksToClose(headers, version);
-  const bool hasNoBody =
-    aMethod == "HEAD" || code < kFirstFinalStatus || code == kNoContent || code == kNotModified;
-  if (hasNoBody) {
-    aParsed.frame = {};
-  } else if (aParsed.frame.framing == Framing::kNone && headers.CountOf("Content-Length") == 0) {
-    aParsed.frame.framing = Framing::kUntilClose;
-    aParsed.close = true;
+  aParsed.frame.framing = std::get<Framing>(framing);
+  if (aParsed.frame.framing == Framing::kLength) {
+    aParsed.frame = stated;
   }
+  aParsed.close = AsksToClose(headers, version) || aParsed.frame.framing == Framing::kUntilClose;
   return true;
 }
 
--- a/test/http/client_test.cc
+++ b/test/http/client_test.cc
@@ -1,6 +1,7 @@
 #include "plantainhaven/http/client.h"
 
 #include "http/raw_peer.h"
+#include "support/peak_memory.h"
 
 #include <atomic>
 #include <optional>
@@ -149,6 +150,137 @@
   }
 }
 
+// Everything that HTTP/1.1 doesn't have, or that can be read in two ways.
+TEST_CASE("An answer whose head is broken isn't taken")
+{
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string body = "Content-Length: 2\r\n\r\nab";
+  const std::string chunks = "\r\n2\r\nab\r\n0\r\n\r\n";
+  struct Case
+  {
+    const char* name;
+    std::string answer;
+  };
+  const Case cases[] = {
+    { "status 000", "HTTP/1.1 000 OK\r\n" + body },
+    { "status 099", "HTTP/1.1 099 OK\r\n" + body },
+    { "status 600", "HTTP/1.1 600 OK\r\n" + body },
+    { "status 999", "HTTP/1.1 999 OK\r\n" + body },
+    { "status 20", "HTTP/1.1 20 OK\r\n" + body },
+    { "status 2000", "HTTP/1.1 2000 OK\r\n" + body },
+    { "status 200x", "HTTP/1.1 200x OK\r\n" + body },
+    { "status 2x0", "HTTP/1.1 2x0 OK\r\n" + body },
+    { "status -10", "HTTP/1.1 -10 OK\r\n" + body },
+    { "status 101", "HTTP/1.1 101 OK\r\n" + body },
+    { "no status", "HTTP/1.1 \r\n" + body },
+    { "blank in a name", ok + "X Y: a\r\n" + body },
+    { "tab in a name", ok + "X\tY: a\r\n" + body },
+    { "control byte in a name", ok + "X\x01Y: a\r\n" + body },
+    { "DEL in a name", ok + "X\x7fY: a\r\n" + body },
+    { "NUL in a name", ok + std::string("X\0Y: a\r\n", 8) + body },
+    { "byte over 127 in a name", ok + "X\xe9Y: a\r\n" + body },
+    { "no name", ok + ": a\r\n" + body },
+    { "folded line", ok + "X: a\r\n : b\r\n" + body },
+    { "blank before the colon", ok + "X : a\r\n" + body },
+    { "blank before the colon of Content-Length", ok + "Content-Length : 2\r\n" + body },
+    { "no colon", ok + "X\r\n" + body },
+    { "NUL in a value", ok + std::string("X: a\0b\r\n", 9) + body },
+    { "control byte in a value", ok + "X: a\x01z\r\n" + body },
+    { "bare CR in a value", ok + "X: a\rb\r\n" + body },
+    { "line that ends with LF alone", ok + "X: a\n" + body },
+    { "gzip with a length", ok + "Transfer-Encoding: gzip\r\n" + body },
+    { "chunked with a length", ok + "Transfer-Encoding: chunked\r\n" + body },
+    { "gzip, chunked", ok + "Transfer-Encoding: gzip, chunked\r\n" + chunks },
+    { "chunked, gzip", ok + "Transfer-Encoding: chunked, gzip\r\n" + chunks },
+    { "xchunked", ok + "Transfer-Encoding: xchunked\r\n" + chunks },
+    { "chunked twice",
+      ok + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" + chunks },
+    { "HTTP/1.0 in chunks", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks },
+  };
+  for (const Case& one : cases) {
+    INFO("the answer " << one.name);
+    ScriptedServer server([&one](RawSocket& aSocket) {
+      aSocket.ReadUntil("\r\n\r\n");
+      aSocket.Send(one.answer);
+    });
+    HttpConnection connection = ConnectionTo(server.Port());
+    CHECK(FailureOf(connection.Exchange(Get(), kAmple)) == ExchangeFailure::kBroken);
+    CHECK_FALSE(connection.IsOpen());
+  }
+}
+
+TEST_CASE("An answer that a reset cuts isn't taken, whether or not the request was written")
+{
+  for (const std::size_t size : { std::size_t(0), std::size_t(32) << 20 }) {
+    INFO("with a request body of " << size << " bytes");
+    ScriptedServer server([&](RawSocket& aSocket) {
+      aSocket.ReadUntil("\r\n\r\n");
+      int unread = -1;
+      while (aSocket.Unread() != unread) {
+        unread = aSocket.Unread();
+        std::this_thread::sleep_for(50ms);
+      }
+      aSocket.Send("HTTP/1.1 200 OK\r\n\r\npart");
+      CHECK(aSocket.AwaitSent());
+      aSocket.Reset();
+    });
+    HttpConnection connection = ConnectionTo(server.Port());
+    HttpRequest request = Get();
+    request.method = "POST";
+    request.body.assign(size, 'u');
+    CHECK(FailureOf(connection.Exchange(request, kAmple)).has_value());
+    CHECK_FALSE(connection.IsOpen());
+  }
+}
+
+TEST_CASE("An answer without end is cut off in bounded memory")
+{
+  constexpr long kMaxGrowthBytes = 16 << 20;
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string filler(16384, 'a');
+  std::string lines;
+  std::string chunks;
+  std::string interim;
+  std::string blanks;
+  while (lines.size() < filler.size()) {
+    lines += "X-Field: a\r\n";
+    blanks += "\r\n\r\n\r\n";
+    chunks += "1\r\nb\r\n";
+    interim += "HTTP/1.1 100 Continue\r\n\r\n";
+  }
+  struct Case
+  {
+    const char* name;
+    std::string begin;
+    std::string endless;
+  };
+  const Case cases[] = {
+    { "no line end", "x", filler },
+    { "field", ok + "X: ", filler },
+    { "fields", ok, lines },
+    { "blank lines", "", blanks },
+    { "interim answers", "", interim },
+    { "body without a length", ok + "\r\n", filler },
+    { "chunk extension", ok + "Transfer-Encoding: chunked\r\n\r\n5;a=", filler },
+    { "tiny chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", chunks },
+    { "trailer", ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: ", filler },
+  };
+  for (const Case& one : cases) {
+    INFO("the answer " << one.name);
+    ScriptedServer server([&one](RawSocket& aSocket) {
+      aSocket.ReadUntil("\r\n\r\n");
+      aSocket.Send(one.begin);
+      while (aSocket.Send(one.endless)) {
+      }
+    });
+    const PeakMemory memory;
+    HttpConnection connection = ConnectionTo(server.Port());
+    CHECK(FailureOf(connection.Exchange(Get(), 2s)).has_value());
+    CHECK_FALSE(connection.IsOpen());
+    CHECK(memory.Growth() < kMaxGrowthBytes);
+  }
+}
+
 struct GoodCase
 {
   const char* name;
