Show that responses to uploads reach callers through a relaying VM as they do directly

The tests of resets and of long responses play each case once more with a VM that has no path to the server, so that the upload fills both connections. They hold: the relaying VM reads through ClientStream too, and states the length or chunks of what it passes on. Nothing changed for it.

--- a/test/edge/one_vm.h
+++ b/test/edge/one_vm.h
@@ -178,6 +178,7 @@
     , second(Served)
   {
     this->callersPort = SetUpVm(this->settings, "vm-1");
+    this->settings.mutable_listen()->add_relay_ports(FreePort());
     this->traffic = std::make_unique<Traffic>(
       this->context,
       this->settings,
@@ -335,6 +336,25 @@
                [this, server] { this->traffic->SetServers({ server }, BootClock::Now()); });
   }
 
+  // Where other VMs send requests that this one relays.
+  std::string RelayEndpoint() const
+  {
+    return "127.0.0.1:" + std::to_string(this->settings.listen().relay_ports(0));
+  }
+  // Cuts the VM off from its only backend server, and lets it know a VM that relays requests.
+  void RelayThrough(const std::string& aEndpoint)
+  {
+    this->UseServerAt(FreePort());
+    FleetView fleet;
+    fleet.canAcquireTokens = true;
+    placing::RelayVm relay;
+    relay.name = "relay";
+    relay.endpoint = aEndpoint;
+    relay.region = "north";
+    fleet.relays = { relay };
+    this->SetFleet(fleet);
+  }
+
   // Sends enough successful requests for the retry budget to permit a retry.
   void EarnRetryBudget()
   {
--- a/test/responses/early_response_test.cc
+++ b/test/responses/early_response_test.cc
@@ -70,17 +70,44 @@
          "\r\n" + body;
 }
 
+// The response with the id of the request whose head is given.
+std::string
+WithIdOf(const std::string& aHead, std::string aResponse)
+{
+  const std::string name = "X-Plantainhaven-Request-Id: ";
+  const std::size_t at = aHead.find(name) + name.size();
+  const std::string id = aHead.substr(at, aHead.find("\r\n", at) - at);
+  return aResponse.replace(aResponse.find("raw-1"), 5, id);
+}
+
+// How requests get from the VM to its server.
+enum class Way
+{
+  kDirect,
+  kRelayed, // Through another VM.
+};
+
 // A VM whose only server answers a long upload as a script tells, once the upload has filled the
-// connection, so that the VM's write is pending.
+// connections, so that the VM's write is pending.
 class VmWithUpload
 {
 public:
-  explicit VmWithUpload(ScriptedServer::Script aScript)
+  VmWithUpload(Way aWay, ScriptedServer::Script aScript)
     : script(std::move(aScript))
     , server([this](RawSocket& aSocket) { this->Serve(aSocket); })
   {
     this->vm.SetRouting(MakeUploadRouting());
-    this->vm.UseServerAt(this->server.Port());
+    if (aWay == Way::kDirect) {
+      this->vm.UseServerAt(this->server.Port());
+    } else {
+      this->relay = std::make_unique<OneVm>();
+      this->relay->SetRouting(MakeUploadRouting());
+      this->relay->UseServerAt(this->server.Port());
+      this->vm.RelayThrough(this->relay->RelayEndpoint());
+      // The VM learns that it has no path of its own.
+      REQUIRE(Await(
+        [&] { return this->vm.SendRequest(http::verb::get, "/read/x").result_int() == 200; }));
+    }
     this->caller = std::make_unique<RawCaller>(this->vm.CallersPort());
   }
 
@@ -111,10 +138,15 @@
 private:
   void Serve(RawSocket& aSocket)
   {
-    if (aSocket.ReadUntil("\r\n\r\n").empty()) {
+    const std::string head = aSocket.ReadUntil("\r\n\r\n");
+    if (head.empty()) {
       // A probe that only connects.
       return;
     }
+    if (head.starts_with("GET")) {
+      aSocket.Send(WithIdOf(head, Bytes("no length", kSmall)));
+      return;
+    }
     constexpr int kCalmChecks = 20;
     int unread = 0;
     int calm = 0;
@@ -128,6 +160,7 @@
   }
 
   OneVm vm;
+  std::unique_ptr<OneVm> relay;
   ScriptedServer::Script script;
   std::unique_ptr<RawCaller> caller;
   std::atomic<bool> hasResponse{ false };
@@ -157,9 +190,10 @@
     { "length", kMedium, 0, 200 },
     { "chunks", kMedium, 0, 200 },
   };
+  const auto way = GENERATE(Way::kDirect, Way::kRelayed);
   for (const Case& entry : cases) {
-    CAPTURE(entry.form, entry.sent, entry.missing);
-    VmWithUpload vm([&](RawSocket& aSocket) {
+    CAPTURE(way == Way::kRelayed, entry.form, entry.sent, entry.missing);
+    VmWithUpload vm(way, [&](RawSocket& aSocket) {
       std::string bytes = Bytes(entry.form, entry.sent);
       bytes.resize(bytes.size() - entry.missing);
       aSocket.Send(bytes);
@@ -186,7 +220,7 @@
   for (const Case& entry : cases) {
     CAPTURE(entry.name);
     std::function<void(const std::function<void()>&)> whileBlocked;
-    VmWithUpload vm([&](RawSocket& aSocket) {
+    VmWithUpload vm(Way::kDirect, [&](RawSocket& aSocket) {
       aSocket.Send(Bytes("no length", kMedium));
       CHECK(aSocket.AwaitSent());
       const auto end = [&] {
@@ -220,9 +254,10 @@
     { "length", kLarge },      { "chunks", kLarge },      { "no length", kLarge },
     { "length", 10 * kLarge }, { "chunks", 10 * kLarge }, { "no length", 10 * kLarge },
   };
+  const auto way = GENERATE(Way::kDirect, Way::kRelayed);
   for (const Case& entry : cases) {
-    CAPTURE(entry.form, entry.size);
-    VmWithUpload vm([&](RawSocket& aSocket) {
+    CAPTURE(way == Way::kRelayed, entry.form, entry.size);
+    VmWithUpload vm(way, [&](RawSocket& aSocket) {
       aSocket.Send(Bytes(entry.form, entry.size));
       if (entry.form == "no length") {
         aSocket.Finish();
@@ -290,10 +325,7 @@
       if (head.empty()) {
         return;
       }
-      const std::size_t at = head.find("X-Plantainhaven-Request-Id: ");
-      std::string bytes = Bytes("no length", size);
-      bytes.replace(bytes.find("raw-1"), 5, head.substr(at + 28, head.find("\r\n", at) - at - 28));
-      aSocket.Send(bytes);
+      aSocket.Send(WithIdOf(head, Bytes("no length", size)));
       CHECK(aSocket.AwaitSent());
       aSocket.Reset();
     });
