--- a/test/edge/one_vm.h
+++ b/test/edge/one_vm.h
@@ -328,10 +328,11 @@
     this->second.SetHandler(aHandler);
   }
   // Replaces the VM's backend servers by a single one at this port.
-  void UseServerAt(std::uint16_t aPort)
+  void UseServerAt(std::uint16_t aPort, int aSlots = 4)
   {
     BackendServer server = MakeTestServer("s3", this->first);
     server.port = aPort;
+    server.slots = aSlots;
     asio::post(this->context,
                [this, server] { this->traffic->SetServers({ server }, BootClock::Now()); });
   }
