--- a/include/plantainhaven/policy/response/response_rules.h
+++ b/include/plantainhaven/policy/response/response_rules.h
@@ -53,10 +53,10 @@
   kBroken,  // A reset, a timeout or the like.
 };
 
-// Whether the body of a response was received to its end. `isComplete`: all that its framing
+// Whether the body of a response was received to its end. `aIsComplete`: all that its framing
 // promises was received. A body that ends with the connection promises nothing, so there the end of
 // the connection decides.
 bool
-IsWhole(Framing aFraming, bool isComplete, ConnectionEnd aEnd);
+IsWhole(Framing aFraming, bool aIsComplete, ConnectionEnd aEnd);
 
 } // namespace plantainhaven
--- a/src/policy/response/response_rules.cc
+++ b/src/policy/response/response_rules.cc
@@ -53,9 +53,9 @@
 }
 
 bool
-IsWhole(Framing aFraming, bool isComplete, ConnectionEnd aEnd)
+IsWhole(Framing aFraming, bool aIsComplete, ConnectionEnd aEnd)
 {
-  return isComplete && (aFraming != Framing::kUntilClose || aEnd == ConnectionEnd::kOrderly);
+  return aIsComplete && (aFraming != Framing::kUntilClose || aEnd == ConnectionEnd::kOrderly);
 }
 
 } // namespace plantainhaven
