--- a/test/edge/endless_response_test.cc
+++ b/test/edge/endless_response_test.cc
@@ -2,6 +2,7 @@
 
 #include "edge/one_vm.h"
 #include "support/peak_memory.h"
+#include "support/repeat.h"
 
 #include <catch2/catch.hpp>
 #include <functional>
@@ -15,16 +16,6 @@
 // Growth of the process that one endless response may cause at most; a VM has a few hundred MB.
 constexpr long kMaxGrowthBytes = 32 << 20;
 
-std::string
-Repeat(const std::string& aText)
-{
-  std::string text;
-  while (text.size() < 16384) {
-    text += aText;
-  }
-  return text;
-}
-
 // The head of a response that is sent in chunks.
 std::string
 ChunkedHead(const FakeRequest& aRequest, const std::string& aFields)
--- a/test/http/client_test.cc
+++ b/test/http/client_test.cc
@@ -2,6 +2,7 @@
 
 #include "http/raw_peer.h"
 #include "support/peak_memory.h"
+#include "support/repeat.h"
 
 #include <atomic>
 #include <optional>
@@ -237,17 +238,6 @@
 {
   constexpr long kMaxGrowthBytes = 16 << 20;
   const std::string ok = "HTTP/1.1 200 OK\r\n";
-  const std::string filler(16384, 'a');
-  std::string lines;
-  std::string chunks;
-  std::string interim;
-  std::string blanks;
-  while (lines.size() < filler.size()) {
-    lines += "X-Field: a\r\n";
-    blanks += "\r\n\r\n\r\n";
-    chunks += "1\r\nb\r\n";
-    interim += "HTTP/1.1 100 Continue\r\n\r\n";
-  }
   struct Case
   {
     const char* name;
@@ -255,15 +245,15 @@
     std::string endless;
   };
   const Case cases[] = {
-    { "no line end", "x", filler },
-    { "field", ok + "X: ", filler },
-    { "fields", ok, lines },
-    { "blank lines", "", blanks },
-    { "interim answers", "", interim },
-    { "body without a length", ok + "\r\n", filler },
-    { "chunk extension", ok + "Transfer-Encoding: chunked\r\n\r\n5;a=", filler },
-    { "tiny chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", chunks },
-    { "trailer", ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: ", filler },
+    { "no line end", "x", Repeat("x") },
+    { "field", ok + "X: ", Repeat("a") },
+    { "fields", ok, Repeat("X-Field: a\r\n") },
+    { "blank lines", "", Repeat("\r\n") },
+    { "interim answers", "", Repeat("HTTP/1.1 100 Continue\r\n\r\n") },
+    { "body without a length", ok + "\r\n", Repeat("a") },
+    { "chunk extension", ok + "Transfer-Encoding: chunked\r\n\r\n5;a=", Repeat("a") },
+    { "tiny chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", Repeat("1\r\nb\r\n") },
+    { "trailer", ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: ", Repeat("a") },
   };
   for (const Case& one : cases) {
     INFO("the answer " << one.name);
--- a/test/responses/relayed_response_test.cc
+++ b/test/responses/relayed_response_test.cc
@@ -1,6 +1,7 @@
 #include "edge/one_vm.h"
 #include "http/raw_peer.h"
 #include "support/peak_memory.h"
+#include "support/repeat.h"
 
 #include <catch2/catch.hpp>
 #include <chrono>
@@ -14,16 +15,6 @@
 constexpr long kMaxGrowthBytes = 32 << 20;
 const std::string kOk = "HTTP/1.1 200 OK\r\n";
 
-std::string
-Repeat(const std::string& aText)
-{
-  std::string text;
-  while (text.size() < 16384) {
-    text += aText;
-  }
-  return text;
-}
-
 // Waits until a VM has found out that it has no path, and is served through the other.
 void
 AwaitRelaying(OneVm& aVm)
--- a/test/responses/store_response_test.cc
+++ b/test/responses/store_response_test.cc
@@ -4,6 +4,7 @@
 #include "http/raw_peer.h"
 #include "support/await_result.h"
 #include "support/peak_memory.h"
+#include "support/repeat.h"
 
 #include <atomic>
 #include <catch2/catch.hpp>
@@ -143,16 +144,7 @@
 
 TEST_CASE("A response of the store without end is cut off in bounded memory")
 {
-  const std::string filler(16384, 'a');
   const std::string ok = "HTTP/1.1 200 OK\r\n";
-  std::string lines;
-  std::string chunks;
-  std::string interim;
-  while (lines.size() < filler.size()) {
-    lines += "X-Field: a\r\n";
-    chunks += "1\r\nb\r\n";
-    interim += "HTTP/1.1 100 Continue\r\n\r\n";
-  }
   struct Case
   {
     std::string name;
@@ -160,15 +152,15 @@
     std::string endless;
   };
   const Case cases[] = {
-    { "no line end", "x", filler },
-    { "field", ok + "X-Field: ", filler },
-    { "fields", ok, lines },
-    { "interim responses", "", interim },
-    { "body without a length", ok + "\r\n", filler },
-    { "chunk extension", ok + "Transfer-Encoding: chunked\r\n\r\n5;a=", filler },
-    { "tiny chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", chunks },
-    { "trailer", ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Field: ", filler },
-    { "bytes after the response", Response(1), filler },
+    { "no line end", "x", Repeat("x") },
+    { "field", ok + "X-Field: ", Repeat("a") },
+    { "fields", ok, Repeat("X-Field: a\r\n") },
+    { "interim responses", "", Repeat("HTTP/1.1 100 Continue\r\n\r\n") },
+    { "body without a length", ok + "\r\n", Repeat("a") },
+    { "chunk extension", ok + "Transfer-Encoding: chunked\r\n\r\n5;a=", Repeat("a") },
+    { "tiny chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", Repeat("1\r\nb\r\n") },
+    { "trailer", ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Field: ", Repeat("a") },
+    { "bytes after the response", Response(1), Repeat("a") },
   };
   for (const Case& entry : cases) {
     CAPTURE(entry.name);
