Take the ports of tests from below those of outgoing connections

Cause: FreePort() let the kernel choose a port, closed it and returned it. The kernel may give the same port to an outgoing connection or another listener before it is bound; the new responses_test runs beside edge_test and opens many. Not reproduced; read from the code, which says so itself. Why this fix works: FreePort() now uses the range below the ephemeral ports that PortRange has for processes that restart, and returns no port again before all others.

--- a/include/plantainhaven/standin/free_port.h
+++ b/include/plantainhaven/standin/free_port.h
@@ -4,23 +4,24 @@
 
 namespace plantainhaven {
 
-// Returns a loopback port that is free at the time of the call; another process may bind it
-// afterwards. Throws std::runtime_error when no port is free.
-std::uint16_t
-FreePort();
-
-// Returns each free loopback port once, from a range below the kernel's ephemeral ports, so
-// that the port of a restarted process isn't taken by an outgoing connection meanwhile.
+// Returns free loopback ports one after the other, from a range below the kernel's ephemeral ports,
+// so that a port isn't taken by an outgoing connection before it is bound, or while its process is
+// restarted. Each is returned once before the first is returned again.
 class PortRange
 {
 public:
   PortRange();
-  // Throws std::runtime_error when the range is exhausted.
+  // Throws std::runtime_error when no port of the range is free.
   std::uint16_t Next();
 
 private:
-  std::uint16_t tried = 0;
+  int handedOut = 0;
   std::uint16_t offset = 0;
 };
 
+// Returns the next port of a range that the whole process shares. Another process may bind it
+// afterwards. Throws std::runtime_error when no port is free.
+std::uint16_t
+FreePort();
+
 } // namespace plantainhaven
--- a/src/standin/free_port.cc
+++ b/src/standin/free_port.cc
@@ -1,5 +1,6 @@
 #include "plantainhaven/standin/free_port.h"
 
+#include <mutex>
 #include <netinet/in.h>
 #include <optional>
 #include <stdexcept>
@@ -17,7 +18,7 @@
 // processes search different parts of the range.
 constexpr int kStride = 97;
 
-// Returns the bound port, or nothing when the port is in use. Port 0 binds any free port.
+// Returns the bound port, or nothing when the port is in use.
 std::optional<std::uint16_t>
 TryPort(std::uint16_t aPort)
 {
@@ -39,11 +40,10 @@
 std::uint16_t
 FreePort()
 {
-  const auto port = TryPort(0);
-  if (!port) {
-    throw std::runtime_error("no free port on loopback");
-  }
-  return *port;
+  static std::mutex sMutex;
+  static PortRange sPorts;
+  const std::lock_guard<std::mutex> lock(sMutex);
+  return sPorts.Next();
 }
 
 PortRange::PortRange()
@@ -54,8 +54,8 @@
 std::uint16_t
 PortRange::Next()
 {
-  while (this->tried < kPorts) {
-    const int place = (this->offset + this->tried++) % kPorts;
+  for (int tries = 0; tries < kPorts; ++tries) {
+    const int place = (this->offset + this->handedOut++) % kPorts;
     if (const auto port = TryPort(static_cast<std::uint16_t>(kFirstPort + place))) {
       return *port;
     }
