--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -1112,6 +1112,7 @@
 {
   int version = 3;
   long timeoutMs = 2000;
+  long targetMs = 300;
   double rate = 0;
   double burst = 0;
   std::string pageService = "desk";
@@ -1128,7 +1129,8 @@
       return std::string(R"({"name":")") + aName + R"(","prefix":"/)" + aName +
              R"(/","route_type":")" + aType + R"(","service":")" + aService +
              R"(","timeout_ms":)" + std::to_string(this->timeoutMs) +
-             R"(,"target_latency_ms":300,"priority":1,"max_attempts":)" + std::to_string(aAttempts) +
+             R"(,"target_latency_ms":)" + std::to_string(this->targetMs) +
+             R"(,"priority":1,"max_attempts":)" + std::to_string(aAttempts) +
              R"(,"public":false,"session_affinity":false,"allowed_regions":[]})";
     };
     text << R"({"version":)" << this->version << R"(,"services":[)" << service("desk") << ","
