--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -612,6 +612,40 @@
     this->Apply({ this->version, aTable, aKey, {}, true });
     this->changed.notify_all();
   }
+  // While it is away, each call gets 503.
+  void SetAway(bool aIsAway)
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->isAway = aIsAway;
+    Say("the store is %s", aIsAway ? "away" : "there");
+  }
+  // The store comes back from a copy that is this old: later writes are gone, versions go back.
+  void ReturnFromCopy(long aAgeMs)
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    const long until = NowMs() - aAgeMs;
+    std::vector<Row> kept;
+    for (const Row& row : this->history) {
+      if (row.at <= until) {
+        kept.push_back(row);
+      }
+    }
+    this->rows.clear();
+    this->history.clear();
+    this->version = kept.empty() ? 1 : kept.back().version;
+    for (const Row& row : kept) {
+      this->Apply(row);
+    }
+    ++this->era;
+    this->changed.notify_all();
+    Say("the store comes back from a copy that is %ld ms old; its era is %d", aAgeMs, this->era);
+  }
+  // The version of a row; 0 if there is none.
+  std::uint64_t RowVersion(const std::string& aTable, const std::string& aKey)
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->VersionOf(aTable, aKey);
+  }
   std::size_t RowCount(const std::string& aTable)
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
@@ -626,6 +660,7 @@
     std::string key;
     std::string value;
     bool isRemoved = false;
+    long at = NowMs();
   };
 
   void Apply(const Row& aRow)
@@ -655,12 +690,15 @@
                              std::to_string(this->version) + R"(,"now_ms":)" +
                              std::to_string(NowMs()) + "}";
     return "HTTP/1.1 " + std::to_string(aStatus) +
-           " X\r\nContent-Type: application/json\r\nStore-Era: 1\r\nContent-Length: " +
+           " X\r\nContent-Type: application/json\r\nStore-Era: " + std::to_string(this->era) + "\r\nContent-Length: " +
            std::to_string(body.size()) + "\r\n\r\n" + body;
   }
   std::string Answer(const Message& aRequest)
   {
     std::unique_lock<std::mutex> lock(this->mutex);
+    if (this->isAway) {
+      return this->Response(503, "");
+    }
     const std::string path = aRequest.second.substr(0, aRequest.second.find('?'));
     const std::string table = QueryOf(aRequest.second, "table");
     if (path == "/v1/rows-get") {
@@ -675,6 +713,9 @@
     }
     if (path == "/v1/rows-feed") {
       const std::uint64_t after = std::stoull("0" + QueryOf(aRequest.second, "after"));
+      if (after > this->version) {
+        return this->Response(410, "");
+      }
       const long wait = std::stol("0" + QueryOf(aRequest.second, "wait_ms"));
       std::map<std::uint64_t, Row> newest;
       const auto collect = [&] {
@@ -743,6 +784,8 @@
   std::mutex mutex;
   std::condition_variable changed;
   std::uint64_t version = 1;
+  int era = 1;
+  bool isAway = false;
   std::map<std::string, std::map<std::string, Row>> rows;
   std::vector<Row> history;
   // Destroyed first: its threads use the members above.
@@ -943,12 +986,16 @@
   bool Start()
   {
     if (!this->hasPorts) {
+      // All are held until the last one is known, so that they differ.
+      std::vector<int> held;
       for (int* const wanted : { &this->callers, &this->ready, &this->lookups }) {
-        const int handle = Listen(this->options.ip, 0);
-        if (handle < 0) {
+        held.push_back(Listen(this->options.ip, 0));
+        if (held.back() < 0) {
           return false;
         }
-        *wanted = PortOf(handle);
+        *wanted = PortOf(held.back());
+      }
+      for (const int handle : held) {
         ::close(handle);
       }
       this->hasPorts = true;
@@ -996,6 +1043,15 @@
       }
       SleepMs(50);
     }
+    Say("vm %s isn't ready after %ld ms; the end of its log:", this->options.name.c_str(), aTimeoutMs);
+    std::ifstream log(this->options.folder + "/" + this->options.name + ".log");
+    std::vector<std::string> lines;
+    for (std::string line; std::getline(log, line);) {
+      lines.push_back(line);
+    }
+    for (std::size_t i = lines.size() > 12 ? lines.size() - 12 : 0; i < lines.size(); ++i) {
+      Say("  %s", Shown(lines[i]).c_str());
+    }
     return false;
   }
   void Signal(int aSignal) const { ::kill(this->process, aSignal); }
