--- a/review/standin-3/harness.h
+++ b/review/standin-3/harness.h
@@ -148,8 +148,7 @@
 {
   std::size_t sent = 0;
   while (sent < aText.size()) {
-    const ssize_t count =
-      ::send(aHandle, aText.data() + sent, aText.size() - sent, MSG_NOSIGNAL);
+    const ssize_t count = ::send(aHandle, aText.data() + sent, aText.size() - sent, MSG_NOSIGNAL);
     if (count <= 0) {
       return false;
     }
@@ -458,13 +457,19 @@
     bool isRemoved = false;
   };
 
-  void Write(const std::string& aTable, const std::string& aKey, const std::string& aValue, bool aIsRemoved)
+  void Write(const std::string& aTable,
+             const std::string& aKey,
+             const std::string& aValue,
+             bool aIsRemoved)
   {
     ++this->version;
     this->Store_(aTable, aKey, aValue, aIsRemoved);
     this->changed.notify_all();
   }
-  void Store_(const std::string& aTable, const std::string& aKey, const std::string& aValue, bool aIsRemoved)
+  void Store_(const std::string& aTable,
+              const std::string& aKey,
+              const std::string& aValue,
+              bool aIsRemoved)
   {
     const Row row{ aTable, aKey, aValue, this->version, aIsRemoved };
     if (aIsRemoved) {
@@ -509,8 +514,9 @@
   }
   static std::string ToJson(const Row& aRow)
   {
-    std::string text = "{\"table\":" + Quote(aRow.table) + ",\"part\":\"\",\"key\":" +
-                       Quote(aRow.key) + ",\"ver\":" + std::to_string(aRow.version);
+    std::string text = "{\"table\":" + Quote(aRow.table) +
+                       ",\"part\":\"\",\"key\":" + Quote(aRow.key) +
+                       ",\"ver\":" + std::to_string(aRow.version);
     text += aRow.isRemoved ? ",\"removed\":true" : ",\"value\":" + Quote(aRow.value);
     return text + "}";
   }
@@ -520,8 +526,8 @@
     for (std::size_t i = 0; i < aRows.size(); ++i) {
       text += (i > 0 ? "," : "") + ToJson(aRows[i]);
     }
-    return text + "]" + aMore + ",\"ver\":" + std::to_string(this->version) + ",\"now_ms\":" +
-           std::to_string(static_cast<long long>(Now() * 1000)) + "}";
+    return text + "]" + aMore + ",\"ver\":" + std::to_string(this->version) +
+           ",\"now_ms\":" + std::to_string(static_cast<long long>(Now() * 1000)) + "}";
   }
   std::string Get(const std::string& aTarget)
   {
@@ -632,8 +638,8 @@
       }
       const std::string text =
         "HTTP/1.1 " + std::to_string(answer.first) + " X\r\nContent-Type: application/json\r\n" +
-        "Store-Era: " + std::to_string(this->era) + "\r\nContent-Length: " +
-        std::to_string(answer.second.size()) + "\r\n\r\n" + answer.second;
+        "Store-Era: " + std::to_string(this->era) +
+        "\r\nContent-Length: " + std::to_string(answer.second.size()) + "\r\n\r\n" + answer.second;
       if (!SendAll(aHandle, text)) {
         return;
       }
@@ -665,6 +671,8 @@
   // The connection closed before the work was done, and the server dropped the request.
   bool wasDropped = false;
   bool wasCold = false;
+  // The server's process ended under the request.
+  bool hasEndedServer = false;
 };
 
 // A backend server by the users' pages: it registers in the store and writes there at each
@@ -684,6 +692,11 @@
     double heartbeatSeconds = 1.5;
     // While cold, it crashes when more requests than this arrive in one second; 0 for never.
     double crashesAbove = 0;
+    // A request with this path ends it some time after it has begun to run; empty for none.
+    std::string deadlyPath;
+    double deadlyAfter = 0.1;
+    // It is back after this time.
+    double restartAfter = 3.0;
   };
 
   Server(Store& aStore, Options aOptions)
@@ -703,7 +716,8 @@
                    .count();
     this->running = 0;
     this->waiting = 0;
-    if (!this->listener.Start("127.0.0.1", this->port, [this](int aHandle) { this->Serve(aHandle); })) {
+    if (!this->listener.Start(
+          "127.0.0.1", this->port, [this](int aHandle) { this->Serve(aHandle); })) {
       return false;
     }
     this->port = this->listener.Port();
@@ -734,22 +748,22 @@
   bool IsCold() const { return Now() < this->coldUntil; }
   void Report()
   {
-    const long long left =
-      std::max(0LL, static_cast<long long>((this->coldUntil - Now()) * 1000));
+    const long long left = std::max(0LL, static_cast<long long>((this->coldUntil - Now()) * 1000));
     ++this->sequence;
     char text[512];
-    std::snprintf(text,
-                  sizeof(text),
-                  "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\",\"version\":\"v1\","
-                  "\"max_concurrency\":%d,\"state\":\"ready\",\"warmup_left_ms\":%lld,"
-                  "\"sequence\":%d,\"born\":%lld}",
-                  this->options.service.c_str(),
-                  this->port,
-                  this->options.zone.c_str(),
-                  this->options.slots,
-                  left,
-                  this->sequence.load(),
-                  static_cast<long long>(this->born));
+    std::snprintf(
+      text,
+      sizeof(text),
+      "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\",\"version\":\"v1\","
+      "\"max_concurrency\":%d,\"state\":\"ready\",\"warmup_left_ms\":%lld,"
+      "\"sequence\":%d,\"born\":%lld}",
+      this->options.service.c_str(),
+      this->port,
+      this->options.zone.c_str(),
+      this->options.slots,
+      left,
+      this->sequence.load(),
+      static_cast<long long>(this->born));
     const bool isWritten = this->store.Put("servers", this->options.id, text);
     if (left > 0) {
       Record::Line("server %s: reports warmup_left_ms=%lld sequence=%d, %s",
@@ -767,7 +781,11 @@
   }
 
 private:
-  void Respond(int aHandle, const Message& aRequest, int aStatus, const std::string& aMore, const std::string& aBody)
+  void Respond(int aHandle,
+               const Message& aRequest,
+               int aStatus,
+               const std::string& aMore,
+               const std::string& aBody)
   {
     std::string text = "HTTP/1.1 " + std::to_string(aStatus) + " X\r\n";
     text += "X-Plantainhaven-Request-Id: " + aRequest.Field("x-plantainhaven-request-id") + "\r\n";
@@ -795,9 +813,14 @@
         index = this->arrivals.size();
         this->arrivals.push_back({ this->options.id, id, arrivedAt, 0, 0, false, this->IsCold() });
       }
-      Record::Line("server %s: %s arrives%s", this->options.id.c_str(), id.c_str(), this->IsCold() ? " (cold)" : "");
-      if (this->options.crashesAbove > 0 && this->IsCold() && this->CountLastSecond() > this->options.crashesAbove) {
-        Record::Line("server %s: crashes, too many requests while it is cold", this->options.id.c_str());
+      Record::Line("server %s: %s arrives%s",
+                   this->options.id.c_str(),
+                   id.c_str(),
+                   this->IsCold() ? " (cold)" : "");
+      if (this->options.crashesAbove > 0 && this->IsCold() &&
+          this->CountLastSecond() > this->options.crashesAbove) {
+        Record::Line("server %s: crashes, too many requests while it is cold",
+                     this->options.id.c_str());
         std::thread([this] { this->Crash(); }).detach();
         return;
       }
@@ -842,7 +865,8 @@
         return true;
       }
       int found = this->running;
-      hasSlot = found < this->options.slots && this->running.compare_exchange_strong(found, found + 1);
+      hasSlot =
+        found < this->options.slots && this->running.compare_exchange_strong(found, found + 1);
       if (!hasSlot) {
         SleepFor(0.002);
       }
@@ -855,6 +879,24 @@
     Record::Line("server %s: %s runs",
                  this->options.id.c_str(),
                  aRequest.Field("x-plantainhaven-request-id").c_str());
+    if (!this->options.deadlyPath.empty() && aRequest.Word(1) == this->options.deadlyPath) {
+      SleepFor(this->options.deadlyAfter);
+      Record::Line("server %s: %s ends it",
+                   this->options.id.c_str(),
+                   aRequest.Field("x-plantainhaven-request-id").c_str());
+      {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->arrivals[aIndex].endedAt = Now();
+        this->arrivals[aIndex].hasEndedServer = true;
+      }
+      // The process ends: its port refuses connections before the open ones are reset.
+      this->Crash();
+      std::thread([this] {
+        SleepFor(this->options.restartAfter);
+        this->Start();
+      }).detach();
+      return false;
+    }
     const double until = Now() + this->options.workSeconds;
     bool wasDropped = false;
     while (Now() < std::min(until, deadline) && !wasDropped) {
@@ -924,10 +966,11 @@
     const std::string at = this->options.address + ":";
     file << "[log]\nlevel = info\n[vm]\nname = " << this->options.name
          << "\naddress = " << this->options.address << "\nregion = " << this->options.region
-         << "\nfailure_domain = " << this->options.zone << "\n[listen]\ncallers = " << at << this->callers
-         << "\nreadiness = " << at << this->ready << "\nlookups = " << at << this->lookups
-         << "\npeers = " << peers << "\nmetrics = " << metrics << "\nrelay_ports = " << relayFirst << ","
-         << relayLast << "\n[store]\naddress = " << aStore.Address()
+         << "\nfailure_domain = " << this->options.zone << "\n[listen]\ncallers = " << at
+         << this->callers << "\nreadiness = " << at << this->ready << "\nlookups = " << at
+         << this->lookups << "\npeers = " << peers << "\nmetrics = " << metrics
+         << "\nrelay_ports = " << relayFirst << "," << relayLast
+         << "\n[store]\naddress = " << aStore.Address()
          << "\n[link]\nmegabits = 1000\n[places]\nfailure_domains = " << this->options.zones
          << "\n[bounds]\nvalues = "
             "seed_lag_s=3,address_reuse_s=2,contact_ms=3000,ack_ms=4000,sync_s=4,drain_ms=2500,"
@@ -1041,7 +1084,10 @@
 
 // Sends one request on a new connection and waits for its answer.
 inline Call
-SendRequest(const std::string& aAddress, int aPort, const std::string& aId, const CallOptions& aOptions)
+SendRequest(const std::string& aAddress,
+            int aPort,
+            const std::string& aId,
+            const CallOptions& aOptions)
 {
   Call call{ .id = aId };
   const int handle = ConnectTo(aAddress, aPort);
@@ -1049,9 +1095,10 @@
     Record::Line("caller: %s no connection", aId.c_str());
     return call;
   }
-  std::string text = aOptions.method + " " + aOptions.path + " HTTP/1.1\r\nHost: " + aOptions.host +
-                     "\r\nAuthorization: Token " + aOptions.key + "\r\nX-Plantainhaven-Request-Id: " +
-                     aId + "\r\nX-Plantainhaven-Deadline: " + std::to_string(aOptions.deadlineMs) + "\r\n";
+  std::string text =
+    aOptions.method + " " + aOptions.path + " HTTP/1.1\r\nHost: " + aOptions.host +
+    "\r\nAuthorization: Token " + aOptions.key + "\r\nX-Plantainhaven-Request-Id: " + aId +
+    "\r\nX-Plantainhaven-Deadline: " + std::to_string(aOptions.deadlineMs) + "\r\n";
   if (!aOptions.object.empty()) {
     text += "X-Plantainhaven-Affinity-Key: " + aOptions.object + "\r\n";
   }
@@ -1066,15 +1113,16 @@
                aOptions.method.c_str(),
                aOptions.path.c_str(),
                aOptions.bodyBytes);
-  const double until =
-    call.sentAt + (aOptions.leaveAfter > 0 ? aOptions.leaveAfter : aOptions.deadlineMs / 1000.0 + 0.5);
+  const double until = call.sentAt + (aOptions.leaveAfter > 0 ? aOptions.leaveAfter
+                                                              : aOptions.deadlineMs / 1000.0 + 0.5);
   Reader reader(handle);
   Message answer;
   if (reader.ReadHead(answer, until) && reader.ReadBody(answer, until)) {
     call.answeredAt = Now();
     call.status = std::atoi(answer.Word(1).c_str());
     call.body = answer.body;
-    Record::Line("caller: %s gets %d %s", aId.c_str(), call.status, call.body.substr(0, 60).c_str());
+    Record::Line(
+      "caller: %s gets %d %s", aId.c_str(), call.status, call.body.substr(0, 60).c_str());
   } else if (Now() >= until - 0.002) {
     call.leftAt = Now();
     Record::Line("caller: %s leaves, it has no answer", aId.c_str());
@@ -1106,12 +1154,17 @@
 }
 
 inline std::string
-RouteText(const std::string& aName, const std::string& aPrefix, const std::string& aType, int aTimeoutMs, int aAttempts, int aObjectiveMs = 400)
+RouteText(const std::string& aName,
+          const std::string& aPrefix,
+          const std::string& aType,
+          int aTimeoutMs,
+          int aAttempts,
+          int aObjectiveMs = 400)
 {
   return "{\"name\":\"" + aName + "\",\"prefix\":\"" + aPrefix + "\",\"route_type\":\"" + aType +
          "\",\"timeout_ms\":" + std::to_string(aTimeoutMs) +
-         ",\"target_latency_ms\":" + std::to_string(aObjectiveMs) + ",\"priority\":1,\"service\":\"desk\",\"max_attempts\":" +
-         std::to_string(aAttempts) +
+         ",\"target_latency_ms\":" + std::to_string(aObjectiveMs) +
+         ",\"priority\":1,\"service\":\"desk\",\"max_attempts\":" + std::to_string(aAttempts) +
          ",\"public\":false,\"session_affinity\":true,\"allowed_regions\":[]}";
 }
 
