--- a/include/plantainhaven/policy/placing/quota_ring.h
+++ b/include/plantainhaven/policy/placing/quota_ring.h
@@ -1,16 +1,13 @@
 #pragma once
 
-#include <cstddef>
 #include <cstdint>
-#include <optional>
-#include <string>
 #include <string_view>
 #include <vector>
 
 namespace plantainhaven::placing {
 
-// Length of the quota ring. Each VM owns a range of the ring, disjoint from the others, and the
-// rate limit of each client account is divided into units at positions on the ring.
+// Length of the quota ring. Each VM owns ranges of the ring, disjoint from those of the others, and
+// the rate limit of each client account is divided into units at positions on the ring.
 constexpr std::uint32_t kQuotaRingSize = 1'000'000;
 
 // A half-open range [begin, end) of the quota ring.
@@ -28,20 +25,20 @@
   }
 };
 
-// The quota range of a VM, as recorded in the store.
-struct VmQuota
-{
-  std::string vm;
-  QuotaRange range;
-};
-
-// Splits the range of `aDonor` among the VMs that have none, so that all VMs own about equal
-// ranges. Returns the new ranges, the donor's first and then those of at most `aMaxReceivers`
-// receivers; std::nullopt if the donor's range is too small to split.
-std::optional<std::vector<VmQuota>>
-SplitQuota(const std::vector<VmQuota>& aParts,
-           const std::string& aDonor,
-           std::size_t aMaxReceivers);
+// Ranges that don't overlap, in ascending order and with a gap between any two.
+using QuotaRanges = std::vector<QuotaRange>;
+
+std::uint32_t
+TotalLength(const QuotaRanges& aRanges);
+// The positions that lie in any of the ranges, which may overlap and be in any order.
+QuotaRanges
+Merged(QuotaRanges aRanges);
+// The positions of `aRanges` that don't lie in `aRemoved`.
+QuotaRanges
+Without(const QuotaRanges& aRanges, const QuotaRanges& aRemoved);
+// The positions that lie in both.
+QuotaRanges
+Common(const QuotaRanges& aLeft, const QuotaRanges& aRight);
 
 // Positions on the ring of the equal units into which an account's limit is divided. A VM owns
 // whole units only, and a unit is large enough to yield whole tokens for any number of VMs. The
@@ -50,12 +47,8 @@
 std::vector<std::uint32_t>
 UnitPositions(std::string_view aAccount, double aBurst);
 
-// The fraction of an account's units that lie in a range, 0 to 1.
+// The fraction of an account's units that lie in the ranges, 0 to 1.
 double
-HeldFraction(const std::vector<std::uint32_t>& aPositions, const QuotaRange& aRange);
-
-// The longest contiguous part of a range that none of the other ranges overlaps.
-QuotaRange
-LongestRemainder(const QuotaRange& aRange, std::vector<QuotaRange> aOthers);
+HeldFraction(const std::vector<std::uint32_t>& aPositions, const QuotaRanges& aRanges);
 
 } // namespace plantainhaven::placing
--- a/include/plantainhaven/policy/placing/token_buckets.h
+++ b/include/plantainhaven/policy/placing/token_buckets.h
@@ -40,8 +40,8 @@
 // This VM's share of each client account's token bucket, with lending between VMs. Lent
 // tokens are deducted from both the level and the capacity of the lender until no borrower
 // can still use them. Therefore the tokens acquired on all VMs in any window w stay within
-// burst + rate * w as long as the VMs' quota ranges are disjoint. Not thread-safe; reads no
-// clock.
+// burst + rate * w as long as the ranges that the VMs may grant at a time are disjoint. Not
+// thread-safe; reads no clock.
 class TokenBuckets
 {
 public:
@@ -52,8 +52,9 @@
 
   // Applies the limits of a new configuration. Bucket levels are kept, capped by the new burst.
   void SetLimits(const std::vector<TokenLimit>& aLimits, BootTime aNow);
-  // Sets the range of the quota ring whose units belong to this VM.
-  void SetRange(const QuotaRange& aRange, BootTime aNow);
+  // Sets the ranges of the quota ring whose units this VM may grant until a time. From then on it
+  // has no tokens of its own until the next call.
+  void SetRanges(const QuotaRanges& aRanges, BootTime aValidUntil, BootTime aNow);
 
   // Acquires a token for a new request, from borrowed tokens first. An unknown account is
   // unlimited.
--- a/src/edge/edge_program.cc
+++ b/src/edge/edge_program.cc
@@ -15,11 +15,13 @@
 #include "platform/names.h"
 #include "platform/store_client.h"
 
+#include <algorithm>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <exception>
+#include <functional>
 #include <memory>
 #include <thread>
 #include <utility>
@@ -32,6 +34,9 @@
 constexpr std::chrono::milliseconds kPublishInterval{ 100 };
 // The settings file is polled because it may change without a signal.
 constexpr std::chrono::milliseconds kSettingsInterval{ 5000 };
+constexpr std::chrono::milliseconds kHandOverPoll{ 10 };
+// Time in which messages to other VMs leave the process.
+constexpr std::chrono::milliseconds kFlushTime{ 50 };
 constexpr double kBytesPerMegabit = 1e6 / 8;
 
 std::chrono::milliseconds
@@ -71,6 +76,8 @@
   SimpleResponse RespondToOperator(const SimpleRequest& aRequest);
   void AwaitSignal();
   void OnSignal(int aSignal);
+  // Ends the process once other VMs own this one's part of the limits.
+  Task<void> EndAfterHandOver(BootTime aExitAt);
   void RunContext(asio::io_context& aContext, const char* aThread);
 
   const EdgedSettings& settings;
@@ -219,9 +226,12 @@
                  this->traffic.SetFleet(std::move(view));
                });
              },
-           .onQuotaRange =
-             [this](QuotaRange aRange) {
-               this->OnTraffic([this, aRange] { this->traffic.SetQuotaRange(aRange); });
+           .onQuota =
+             [this](const QuotaGrant& aGrant, std::function<void()> aOnApplied) {
+               this->OnTraffic([this, aGrant, onApplied = std::move(aOnApplied)]() mutable {
+                 this->traffic.SetQuota(aGrant);
+                 this->OnControl(std::move(onApplied));
+               });
              },
            .onServerNews =
              [this](VmReport aReport) {
@@ -319,13 +329,30 @@
   const placing::StopSignal signal{ .earliest = this->checkedSignalsAt,
                                     .seenAt = BootClock::Now() };
   this->OnTraffic([this, signal] {
-    this->traffic.BeginStop(signal, [this] {
-      this->trafficContext.stop();
-      this->controlContext.stop();
-    });
+    this->traffic.BeginStop(
+      signal,
+      [this] { this->OnControl([this] { this->fleet.BeginHandOver(); }); },
+      [this](BootTime aExitAt) {
+        asio::co_spawn(this->controlContext, this->EndAfterHandOver(aExitAt), asio::detached);
+      });
   });
 }
 
+Task<void>
+Edge::EndAfterHandOver(BootTime aExitAt)
+{
+  asio::steady_timer timer(this->controlContext);
+  while (!this->fleet.IsHandedOver() && BootClock::Now() < aExitAt) {
+    co_await Sleep(timer, kHandOverPoll);
+  }
+  co_await Sleep(
+    timer,
+    std::min(kFlushTime,
+             std::max(ToMilliseconds(aExitAt - BootClock::Now()), std::chrono::milliseconds(0))));
+  this->trafficContext.stop();
+  this->controlContext.stop();
+}
+
 void
 Edge::RunContext(asio::io_context& aContext, const char* aThread)
 {
--- a/src/edge/fleet.cc
+++ b/src/edge/fleet.cc
@@ -1,10 +1,12 @@
 #include "edge/fleet.h"
 
+#include "edge/quota_rows.h"
 #include "plantainhaven/common/log.h"
 #include "platform/names.h"
 
 #include <algorithm>
 #include <random>
+#include <set>
 #include <utility>
 
 namespace plantainhaven::edge {
@@ -26,36 +28,30 @@
 // A longer pause between two polls means that this process was suspended, so that the silence
 // of the others says nothing about them.
 constexpr std::chrono::milliseconds kProcessPauseThreshold{ 700 };
-constexpr std::chrono::milliseconds kRetryPause{ 300 };
 // Time in which VMs that start at the same moment write their rows.
 constexpr std::chrono::milliseconds kStartupGatherTime{ 1200 };
-constexpr std::chrono::milliseconds kInitialRowPoll{ 1500 };
-constexpr std::chrono::milliseconds kRowPoll{ 15000 };
-// Number of polls at the short interval after the start while this VM has no quota.
-constexpr int kInitialRowPolls = 8;
-// Pause between successive writes when the quota is shared among many VMs.
-constexpr std::chrono::milliseconds kQuotaSharePause{ 100 };
-// One row of each write is that of the VM which gives up quota.
-constexpr std::size_t kMaxQuotaReceivers = platform::StoreClient::kMaxRowsPerWrite - 1;
-// Time in which every live VM learns the store's new era and rewrites its row: a long poll,
-// the message to the other VMs in the region, and two writes.
-constexpr std::chrono::milliseconds kEraSettleTime{ 4000 };
-// The first era of a store; a later one means that it was once restored from a copy.
-constexpr std::uint64_t kFirstEra = 1;
-// Row that marks that the first VM has claimed the whole quota, which must happen only once.
-constexpr const char* kOriginKey = "#origin";
-
-QuotaRange
-RangeOf(const VmRecord& aRecord)
-{
-  return { aRecord.quota_begin(), aRecord.quota_end() };
-}
+// Interval at which the next change of the rows is looked for, and pauses after a call of the
+// store: one that changed rows, one that failed, and one that failed while this VM has no row.
+constexpr std::chrono::milliseconds kRowTick{ 250 };
+constexpr std::chrono::milliseconds kChangePause{ 100 };
+constexpr std::chrono::milliseconds kFailurePause{ 2000 };
+constexpr std::chrono::milliseconds kRetryPause{ 300 };
+// A random part of the pause after a conflict, for each VM of the fleet.
+constexpr std::chrono::milliseconds kConflictPausePerVm{ 10 };
+constexpr std::chrono::milliseconds kGrantPoll{ 20 };
+// A VM is given a part of the limits after it has been ready for this long.
+constexpr std::chrono::milliseconds kSettleTime{ 2000 };
+// A VM that has no row and stays silent for this long is forgotten.
+constexpr std::chrono::seconds kForgetDelay{ 120 };
+// Most VMs that a report names as missed.
+constexpr int kMaxMissedVms = 32;
+// Reports that tell a VM what a read showed of it, so that one may be lost.
+constexpr int kSeenRowReports = 2;
 
-void
-SetRange(VmRecord& aRecord, const QuotaRange& aRange)
+std::chrono::milliseconds
+SinceBoot(BootTime aTime)
 {
-  aRecord.set_quota_begin(aRange.begin);
-  aRecord.set_quota_end(aRange.end);
+  return ToMilliseconds(aTime.time_since_epoch());
 }
 
 bool
@@ -103,7 +99,10 @@
   , self(aSettings.vm().name())
   , endpoint("tcp://" + aSettings.vm().address() + ":" + std::to_string(aSettings.listen().peers()))
   , incarnation(NewIncarnation())
+  , ownership(self, incarnation)
+  , random(incarnation)
   , rowTimer(aContext)
+  , grantTimer(aContext)
   , lastPollAt(BootClock::Now())
 {
 }
@@ -144,9 +143,7 @@
   aReport.set_callers(this->settings.listen().callers());
   aReport.set_region(this->settings.vm().region());
   aReport.set_failure_domain(this->settings.vm().failure_domain());
-  aReport.set_tells_quota(this->isRegistered);
-  aReport.set_quota_begin(this->ownRange.begin);
-  aReport.set_quota_end(this->ownRange.end);
+  this->FillQuota(aReport, BootClock::Now());
   this->ownReport = std::move(aReport);
   this->ResetSilentLinks();
   const bool isRemoteTurn = isStateChange || this->ownReport.has_limit_news() ||
@@ -196,6 +193,12 @@
   }
   const BootTime now = BootClock::Now();
   report.set_misses_receiver(!this->IsAlive(aMember, now));
+  report.set_sent_at_ms(static_cast<std::uint64_t>(SinceBoot(now).count()));
+  if (aMember.seenRowReports > 0) {
+    --aMember.seenRowReports;
+    *report.mutable_seen_row() = aMember.seenRow;
+  }
+  report.set_has_quota_news(std::exchange(aMember.hasQuotaNews, false));
   const bool wasQueued = this->Send(aMember.record.endpoint(), std::move(message));
   aMember.linkWatch.OnSent(wasQueued, now);
 }
@@ -305,16 +308,29 @@
   member.record.set_region(report.region());
   member.record.set_failure_domain(report.failure_domain());
   member.record.set_incarnation(aMessage.from_incarnation());
-  if (report.tells_quota()) {
-    SetRange(member.record, { report.quota_begin(), report.quota_end() });
+  if (!member.report.ready() || !this->IsAlive(member, now)) {
+    member.readySince = now;
   }
   member.report = report;
   member.heardAt = now;
+  member.knownAt = member.knownAt == BootTime{} ? now : member.knownAt;
   this->roster.OnHeard(aMessage.from(), report.region(), now);
   member.linkWatch.OnReport(!report.misses_receiver());
   if (report.introduction()) {
     this->SendReport(member, false);
   }
+  this->OnEra(report.store_era());
+  if (report.has_seen_row()) {
+    const SeenRow& seen = report.seen_row();
+    const BootTime shownAt{ std::chrono::milliseconds(seen.sent_at_ms()) };
+    if (shownAt <= now) {
+      this->ownership.OnShown(seen.era(), seen.row_version(), shownAt);
+    }
+  }
+  if (report.has_quota_news()) {
+    this->ownership.RequestRead();
+    this->rowTimer.cancel();
+  }
   if (report.loads_size() > 0 || report.limits_size() > 0 || report.crashes_size() > 0) {
     this->listener.onServerNews(report);
   }
@@ -345,6 +361,8 @@
 {
   FleetView view;
   const BootTime now = BootClock::Now();
+  this->ownership.OnPeers(this->QuotaPeers(now), now);
+  this->PublishQuota();
   const auto& vm = this->settings.vm();
   view.senders.push_back({ this->self, vm.region() });
   view.members = this->roster.Members(now);
@@ -364,7 +382,7 @@
     view.newestConfiguration = std::max(view.newestConfiguration, report.configuration_version());
     view.senders.push_back({ name, report.region() });
     view.holders.push_back(
-      { RangeOf(member.record), member.record.endpoint(), report.region() == vm.region() });
+      { GrantedBy(report), member.record.endpoint(), report.region() == vm.region() });
     if (report.ready() && !report.leaving()) {
       view.entries.push_back({ name,
                                report.callers(),
@@ -386,8 +404,8 @@
     }
   }
   const bool hasTokenSource =
-    this->members.empty() || !view.holders.empty() || !this->ownRange.IsEmpty();
-  view.canAcquireTokens = this->isRegistered && hasTokenSource;
+    this->members.empty() || !view.holders.empty() || !this->grant.ranges.empty();
+  view.canAcquireTokens = this->ownership.IsRegistered() && hasTokenSource;
   this->TrackSilentVms(view.holders.size(), now);
   this->listener.onView(std::move(view));
 }
@@ -416,7 +434,7 @@
 }
 
 VmRecord
-Fleet::SelfRecord(const QuotaRange& aRange) const
+Fleet::SelfRecord() const
 {
   VmRecord record;
   record.set_endpoint(this->endpoint);
@@ -424,57 +442,121 @@
   record.set_region(this->settings.vm().region());
   record.set_failure_domain(this->settings.vm().failure_domain());
   record.set_incarnation(this->incarnation);
-  record.set_era(this->era);
-  SetRange(record, aRange);
+  record.set_era(this->ownership.Era());
+  record.set_uses_quota_record(true);
   return record;
 }
 
 void
 Fleet::OnEra(std::uint64_t aEra)
 {
-  if (aEra <= this->era) {
-    return;
-  }
-  const bool isFirst = this->era == 0;
-  this->era = aEra;
-  if (isFirst && (aEra <= kFirstEra || this->isRegistered)) {
+  if (aEra <= this->ownership.Era()) {
     return;
   }
-  this->eraSettledAt = BootClock::Now() + kEraSettleTime;
+  this->ownership.OnEra(aEra, BootClock::Now());
+  Log(LogLevel::kInfo, "store_era", { { "era", aEra } });
+  this->PublishQuota();
   this->rowTimer.cancel();
 }
 
-void
-Fleet::ApplyOwnRow(const VmRecord& aRecord, std::uint64_t aVersion)
+bool
+Fleet::IsMissed(const Member& aMember, BootTime aNow) const
 {
-  this->ownVersion = aVersion;
-  this->isCurrentEra = this->era <= kFirstEra || aRecord.era() == this->era;
-  // After a restore the range in memory is newer than the row of the copy.
-  if (this->isCurrentEra || !this->isRegistered) {
-    this->ownRange = RangeOf(aRecord);
+  const BootTime since = std::max(aMember.heardAt, aMember.knownAt);
+  return aMember.rowVersion != 0 && !this->IsAlive(aMember, aNow) &&
+         aNow - since >= placing::QuotaOwnership::kMissedAfter;
+}
+
+bool
+Fleet::IsSettled(const Member& aMember, BootTime aNow) const
+{
+  if (!this->ownReport.ready()) {
+    // The whole fleet is starting.
+    return true;
   }
+  return this->IsAlive(aMember, aNow) && aMember.report.ready() &&
+         aNow - aMember.readySince >= kSettleTime;
+}
+
+void
+Fleet::FillQuota(VmReport& aReport, BootTime aNow) const
+{
+  aReport.set_tells_quota(this->ownership.IsRegistered());
+  aReport.set_uses_quota_record(true);
+  aReport.set_store_era(this->ownership.Era());
+  if (aNow < this->grant.validUntil) {
+    AddBounds(this->grant.ranges, *aReport.mutable_quota_bounds());
+    if (!this->grant.ranges.empty()) {
+      // Builds without a QuotaRecord borrow from one range only.
+      aReport.set_quota_begin(this->grant.ranges.front().begin);
+      aReport.set_quota_end(this->grant.ranges.front().end);
+    }
+  }
+  std::set<std::string> heard;
+  for (const auto& [name, member] : this->members) {
+    if (this->IsMissed(member, aNow) && aReport.missed_vms_size() < kMaxMissedVms) {
+      aReport.add_missed_vms(name);
+    }
+    for (const std::string& missed : member.report.missed_vms()) {
+      const auto found = this->members.find(missed);
+      if (this->IsAlive(member, aNow) && found != this->members.end() &&
+          this->IsAlive(found->second, aNow)) {
+        heard.insert(missed);
+      }
+    }
+  }
+  for (const std::string& name : heard) {
+    aReport.add_heard_vms(name);
+  }
+}
+
+std::vector<placing::QuotaPeer>
+Fleet::QuotaPeers(BootTime aNow) const
+{
+  std::vector<placing::QuotaPeer> peers;
+  peers.reserve(this->members.size());
+  for (const auto& [name, member] : this->members) {
+    const VmReport& report = member.report;
+    const bool wasHeard = member.heardAt != BootTime{};
+    peers.push_back(
+      { .name = name,
+        .isAlive = this->IsAlive(member, aNow),
+        .heardAt = std::max(member.heardAt, member.knownAt),
+        .usesAssignment = wasHeard ? report.uses_quota_record() : member.record.uses_quota_record(),
+        .isHeir = report.tells_quota() && !report.leaving(),
+        .isSettled = this->IsSettled(member, aNow),
+        .hearsSelf = wasHeard && !report.misses_receiver(),
+        .era = report.store_era(),
+        .granted = GrantedBy(report),
+        .missedVms = { report.missed_vms().begin(), report.missed_vms().end() },
+        .heardVms = { report.heard_vms().begin(), report.heard_vms().end() } });
+  }
+  return peers;
 }
 
 Task<bool>
 Fleet::ReadRows()
 {
+  const BootTime begunAt = BootClock::Now();
+  for (auto& [name, member] : this->members) {
+    member.seenRow.set_sent_at_ms(member.report.sent_at_ms());
+    member.seenRowReports = 0;
+  }
   const Result<platform::TableSnapshot> result =
     co_await this->client.ReadTable(platform::kFleetTable);
   if (!IsOk(result)) {
     co_return false;
   }
-  this->OnEra(ValueOf(result).era);
-  if (ValueOf(result).era < this->era) {
-    co_return false;
-  }
-  this->ownVersion = 0;
-  this->isCurrentEra = this->era <= kFirstEra || !this->isRegistered;
-  if (this->isCurrentEra) {
-    this->ownRange = {};
+  const BootTime now = BootClock::Now();
+  placing::QuotaRows quota;
+  quota.era = ValueOf(result).era;
+  for (auto& [name, member] : this->members) {
+    member.rowVersion = 0;
   }
   for (const platform::StoreRow& row : ValueOf(result).rows) {
     VmRecord record;
-    if (row.key == kOriginKey) {
+    if (row.key == kQuotaKey) {
+      DecodeQuotaRow(row, quota);
       continue;
     }
     if (!record.ParseFromString(row.value)) {
@@ -483,177 +565,217 @@
           { { "row", row.key }, { "remedy", "Remove the row; its VM writes it again." } });
       continue;
     }
+    quota.vms[row.key] = QuotaRowOf(record, row.version);
     if (row.key == this->self) {
-      this->ApplyOwnRow(record, row.version);
       continue;
     }
     Member& member = this->members[row.key];
-    this->roster.OnListed(row.key, record.region(), BootClock::Now());
+    this->roster.OnListed(row.key, record.region(), now);
+    member.knownAt = member.knownAt == BootTime{} ? now : member.knownAt;
     member.rowVersion = row.version;
-    member.isCurrentEra = this->era <= kFirstEra || record.era() == this->era;
-    const bool keepsClaim = !member.isCurrentEra && member.report.tells_quota();
-    const QuotaRange claim = RangeOf(member.record);
     member.record = record;
-    if (keepsClaim) {
-      SetRange(member.record, claim);
-    }
+    member.row = std::move(record);
   }
-  co_return true;
-}
-
-// Writes this VM's row. The first VM ever to register claims the whole quota; this happens
-// once in the lifetime of the table.
-Task<bool>
-Fleet::RegisterSelf()
-{
-  const bool isFirst = !this->isRegistered && this->ownVersion == 0 && this->members.empty();
-  QuotaRange range = this->ownRange;
-  std::vector<platform::ConditionalPut> puts;
-  if (isFirst) {
-    range = { 0, kQuotaRingSize };
-    puts.push_back({ kOriginKey, this->self, 0 });
-  }
-  puts.push_back({ this->self, this->SelfRecord(range).SerializeAsString(), this->ownVersion });
-  const Result<std::uint64_t> written = co_await this->client.Write(platform::kFleetTable, puts);
-  if (!IsOk(written)) {
-    Log(LogLevel::kInfo, "register_failed", { { "error", ErrorOf(written).message } });
+  this->OnEra(quota.era);
+  if (!this->ownership.OnRead(quota, begunAt, now)) {
     co_return false;
   }
-  this->ownVersion = ValueOf(written);
-  this->ownRange = range;
-  this->isCurrentEra = true;
-  this->isRegistered = true;
-  Log(LogLevel::kInfo,
-      "registered",
-      { { "vms", this->members.size() + 1 }, { "quota_millionths", range.Length() } });
+  for (auto& [name, member] : this->members) {
+    if (member.rowVersion != 0 && member.seenRow.sent_at_ms() != 0) {
+      member.seenRow.set_era(quota.era);
+      member.seenRow.set_row_version(member.rowVersion);
+      member.seenRowReports = kSeenRowReports;
+    }
+  }
+  this->ForgetLostMembers();
   co_return true;
 }
 
-// The longest part of a range from a row of an earlier era that is claimed neither by a row
-// of the current era nor by a VM that is alive.
-QuotaRange
-Fleet::UnclaimedQuota(const QuotaRange& aRange) const
+void
+Fleet::ForgetLostMembers()
 {
   const BootTime now = BootClock::Now();
-  std::vector<QuotaRange> claimed;
-  for (const auto& [name, member] : this->members) {
-    if (member.isCurrentEra || this->IsAlive(member, now)) {
-      claimed.push_back(RangeOf(member.record));
+  for (auto member = this->members.begin(); member != this->members.end();) {
+    const Member& lost = member->second;
+    if (lost.rowVersion != 0 || now - std::max(lost.heardAt, lost.knownAt) < kForgetDelay) {
+      ++member;
+      continue;
+    }
+    Log(LogLevel::kInfo, "vm_forgotten", { { "vm", member->first } });
+    this->link.Reset(lost.record.endpoint());
+    member = this->members.erase(member);
+  }
+}
+
+platform::RowWrite
+Fleet::WriteOf(const placing::QuotaChange& aChange) const
+{
+  const auto has = [](const std::vector<std::string>& aNames, const std::string& aName) {
+    return std::find(aNames.begin(), aNames.end(), aName) != aNames.end();
+  };
+  platform::RowWrite write;
+  for (const auto& [vm, version] : aChange.conditions) {
+    if (vm == this->self && aChange.writesSelf) {
+      write.puts.push_back({ vm, this->SelfRecord().SerializeAsString(), version });
+    } else if (has(aChange.suspects, vm)) {
+      VmRecord record = this->members.at(vm).row;
+      record.set_is_suspected(true);
+      write.puts.push_back({ vm, record.SerializeAsString(), version });
+    } else if (has(aChange.heirs, vm)) {
+      write.puts.push_back({ vm, this->members.at(vm).row.SerializeAsString(), version });
+    } else if (has(aChange.removals, vm)) {
+      write.removals.push_back({ vm, {}, version });
+    } else {
+      write.conditions.push_back({ vm, {}, version });
     }
   }
-  return placing::LongestRemainder(aRange, std::move(claimed));
+  if (aChange.assignment) {
+    write.puts.push_back(
+      { kQuotaKey, EncodeQuotaRow(aChange, this->ownership.Era()), aChange.assignmentVersion });
+  }
+  return write;
 }
 
-Task<bool>
-Fleet::TryRegister()
+void
+Fleet::TellHeirs(const placing::QuotaChange& aChange)
 {
-  const bool isRead = co_await this->ReadRows();
-  if (!isRead) {
-    co_return false;
-  }
-  const bool isPreviousEraRow = this->ownVersion != 0 && !this->isCurrentEra;
-  const bool isAlone = this->ownVersion == 0 && this->members.empty();
-  const auto left = this->eraSettledAt - BootClock::Now();
-  if ((isPreviousEraRow || isAlone) && left > BootClock::duration(0)) {
-    Log(LogLevel::kInfo, "era_settles", { { "era", this->era } });
-    co_await Sleep(this->rowTimer, ToMilliseconds(left));
-    co_return false;
-  }
-  if (isPreviousEraRow) {
-    this->ownRange = this->UnclaimedQuota(this->ownRange);
+  for (const std::string& vm : aChange.heirs) {
+    const auto found = this->members.find(vm);
+    if (found != this->members.end()) {
+      found->second.hasQuotaNews = true;
+      this->SendReport(found->second, false);
+    }
   }
-  co_return co_await this->RegisterSelf();
+}
+
+Task<bool>
+Fleet::Apply(placing::QuotaChange aChange)
+{
+  const char* const kind = placing::ToString(aChange.kind);
+  this->PublishQuota();
+  co_await this->AwaitQuotaApplied();
+  const std::uint64_t era = this->ownership.Era();
+  const BootTime begunAt = BootClock::Now();
+  const Result<platform::WrittenRows> written =
+    co_await this->client.Write(platform::kFleetTable, this->WriteOf(aChange));
+  const placing::QuotaWriteResult result = ResultOf(written, era);
+  const std::uint64_t version = IsOk(written) ? ValueOf(written).version : 0;
+  this->ownership.OnWritten(aChange, result, version, begunAt, BootClock::Now());
+  const bool isDone = result == placing::QuotaWriteResult::kDone;
+  if (isDone) {
+    for (const auto* const vms : { &aChange.suspects, &aChange.heirs }) {
+      for (const std::string& vm : *vms) {
+        this->members[vm].rowVersion = version;
+      }
+    }
+    this->TellHeirs(aChange);
+  } else if (IsOk(written)) {
+    this->OnEra(ValueOf(written).era);
+  }
+  this->PublishQuota();
+  this->metrics.Count(isDone ? "plantainhaven_quota_changes_total"
+                             : "plantainhaven_quota_changes_failed_total",
+                      "kind",
+                      kind);
+  Log(LogLevel::kInfo,
+      "quota_change",
+      { { "kind", kind },
+        { "done", isDone },
+        { "vms", aChange.conditions.size() },
+        { "quota_millionths", placing::TotalLength(this->grant.ranges) },
+        { "error", IsOk(written) ? std::string() : ErrorOf(written).message } });
+  co_return isDone;
 }
 
 void
-Fleet::PublishRange()
+Fleet::PublishQuota()
 {
+  const BootTime now = BootClock::Now();
+  const QuotaGrant next = this->ownership.Grant(now);
+  const bool isLapsed = !next.ranges.empty() && now >= next.validUntil;
+  if (isLapsed != this->wasLapsed) {
+    this->wasLapsed = isLapsed;
+    this->metrics.Count(
+      "plantainhaven_quota_lease_lapses_total", "change", isLapsed ? "lapsed" : "renewed");
+    Log(LogLevel::kWarning, isLapsed ? "quota_lease_lapsed" : "quota_lease_renewed");
+  }
+  if (next == this->grant) {
+    return;
+  }
+  this->grant = next;
   this->metrics.Set("plantainhaven_quota_part",
-                    static_cast<double>(this->ownRange.Length()) /
+                    static_cast<double>(placing::TotalLength(next.ranges)) /
                       static_cast<double>(kQuotaRingSize));
-  this->listener.onQuotaRange(this->ownRange);
+  ++this->pendingGrants;
+  this->listener.onQuota(next, [this] {
+    --this->pendingGrants;
+    this->grantTimer.cancel();
+  });
 }
 
-std::vector<VmQuota>
-Fleet::QuotaShares() const
+Task<void>
+Fleet::AwaitQuotaApplied()
 {
-  std::vector<VmQuota> parts{ { this->self, this->ownRange } };
-  for (const auto& [name, member] : this->members) {
-    if (member.rowVersion != 0) {
-      parts.push_back({ name, RangeOf(member.record) });
-    }
+  while (this->pendingGrants > 0) {
+    co_await Sleep(this->grantTimer, kGrantPoll);
   }
-  return parts;
 }
 
-// Transfers quota to VMs that have none. This VM applies its reduced range before it writes
-// the ranges of the others to the store, so that ranges never overlap.
-Task<bool>
-Fleet::ShareQuota()
+void
+Fleet::BeginHandOver()
 {
-  if (BootClock::Now() < this->eraSettledAt) {
-    co_return false;
-  }
-  const auto shared = SplitQuota(this->QuotaShares(), this->self, kMaxQuotaReceivers);
-  if (!shared) {
-    co_return false;
+  this->ownership.BeginStop();
+  this->rowTimer.cancel();
+}
+
+bool
+Fleet::IsHandedOver() const
+{
+  return this->ownership.IsHandedOver();
+}
+
+Task<std::chrono::milliseconds>
+Fleet::StepRows()
+{
+  const BootTime now = BootClock::Now();
+  this->ownership.OnPeers(this->QuotaPeers(now), now);
+  const bool wasRegistered = this->ownership.IsRegistered();
+  const std::chrono::milliseconds failurePause = wasRegistered ? kFailurePause : kRetryPause;
+  if (this->ownership.NeedsRead(now)) {
+    const bool isRead = co_await this->ReadRows();
+    if (!isRead) {
+      co_return failurePause;
+    }
+    this->SendIntroductions();
   }
-  this->ownRange = shared->front().range;
-  this->PublishRange();
-  std::vector<platform::ConditionalPut> puts;
-  puts.push_back(
-    { this->self, this->SelfRecord(this->ownRange).SerializeAsString(), this->ownVersion });
-  for (auto part = shared->begin() + 1; part != shared->end(); ++part) {
-    Member& member = this->members[part->vm];
-    SetRange(member.record, part->range);
-    member.record.set_era(this->era);
-    puts.push_back({ part->vm, member.record.SerializeAsString(), member.rowVersion });
-  }
-  const Result<std::uint64_t> written = co_await this->client.Write(platform::kFleetTable, puts);
-  Log(LogLevel::kInfo,
-      "quota_shared",
-      { { "receivers", shared->size() - 1 },
-        { "done", IsOk(written) },
-        { "error", IsOk(written) ? std::string() : ErrorOf(written).message } });
-  if (IsOk(written)) {
-    this->ownVersion = ValueOf(written);
+  std::chrono::milliseconds pause{ 0 };
+  if (auto change = this->ownership.NextChange(BootClock::Now())) {
+    const bool isDone = co_await this->Apply(std::move(*change));
+    const std::uniform_int_distribution<std::int64_t>::param_type spread(
+      0, kConflictPausePerVm.count() * static_cast<std::int64_t>(this->members.size() + 1));
+    pause = isDone
+              ? kChangePause
+              : kRetryPause + std::chrono::milliseconds(
+                                std::uniform_int_distribution<std::int64_t>(spread)(this->random));
   }
-  co_return IsOk(written);
+  this->PublishQuota();
+  co_return pause;
 }
 
 Task<void>
 Fleet::RunRows()
 {
-  while (!this->isRegistered) {
-    const bool isWritten = co_await this->TryRegister();
-    if (!isWritten) {
-      co_await Sleep(this->rowTimer, kRetryPause);
-    }
-  }
-  this->PublishRange();
-  this->SendIntroductions();
-  co_await Sleep(this->rowTimer, kStartupGatherTime);
-  for (int round = 0;; ++round) {
-    const bool isRead = co_await this->ReadRows();
-    bool hasSharedQuota = false;
-    bool isRowCurrent = isRead;
-    if (isRead && !this->isCurrentEra) {
-      isRowCurrent = co_await this->RegisterSelf();
-    }
-    if (isRead) {
-      this->PublishRange();
+  bool isFirst = true;
+  while (true) {
+    const std::chrono::milliseconds pause = co_await this->StepRows();
+    if (isFirst && this->ownership.IsRegistered()) {
+      isFirst = false;
       this->SendIntroductions();
-      hasSharedQuota = co_await this->ShareQuota();
-    }
-    std::chrono::milliseconds pause = kRowPoll;
-    if (!isRowCurrent && this->era > kFirstEra) {
-      pause = kRetryPause;
-    } else if (hasSharedQuota) {
-      pause = kQuotaSharePause;
-    } else if (round < kInitialRowPolls && this->ownRange.IsEmpty()) {
-      pause = kInitialRowPoll;
+      co_await Sleep(this->rowTimer, kStartupGatherTime);
+      this->ownership.RequestRead();
+      continue;
     }
-    co_await Sleep(this->rowTimer, pause);
+    co_await Sleep(this->rowTimer, pause.count() > 0 ? pause : kRowTick);
   }
 }
 
--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -7,13 +7,14 @@
 #include "plantainhaven/fleet/peer_link.h"
 #include "plantainhaven/policy/placing/connection_watchdog.h"
 #include "plantainhaven/policy/placing/fleet_roster.h"
-#include "plantainhaven/policy/placing/quota_ring.h"
+#include "plantainhaven/policy/placing/quota_ownership.h"
 #include "platform/store_client.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -30,7 +31,9 @@
 struct FleetListener
 {
   std::function<void(FleetView)> onView;
-  std::function<void(QuotaRange)> onQuotaRange;
+  // The units that this VM may grant. `aOnApplied` is to be called on the control thread once
+  // none but these are granted any more.
+  std::function<void(const QuotaGrant&, std::function<void()> aOnApplied)> onQuota;
   // A report that tells loads, rate limits or ends of backend servers, for the traffic thread.
   std::function<void(VmReport)> onServerNews;
   // Rows of the store that a VM in this region has read, and copies of tables.
@@ -39,9 +42,9 @@
   std::function<void(Envelope)> onTokenMessage;
 };
 
-// Membership of the fleet. Rows in the store name the VMs that may exist and the part of the
-// limits that each may grant; periodic reports tell which VMs are alive. Runs on the control
-// thread.
+// Membership of the fleet, and this VM's part of the limits. Rows in the store name the VMs that
+// may exist and who owns which part; periodic reports tell which VMs are alive. What to change is
+// decided by QuotaOwnership. Runs on the control thread.
 class Fleet
 {
 public:
@@ -71,36 +74,55 @@
   // Records the era of the store. An era newer than the one known before means that the store
   // was restored from an older copy.
   void OnEra(std::uint64_t aEra);
+  // Begins to leave this VM's part of the limits to others.
+  void BeginHandOver();
+  // True once that is done, or if there is nobody to leave it to.
+  bool IsHandedOver() const;
 
 private:
   struct Member
   {
     VmRecord record;
+    // The row as last read, and its version; 0 if there is none.
+    VmRecord row;
     std::uint64_t rowVersion = 0;
     BootTime heardAt{};
-    // True if the row was written in the current era of the store.
-    bool isCurrentEra = true;
+    // When the VM was first known, and since when it has been ready.
+    BootTime knownAt{};
+    BootTime readySince{};
     placing::ConnectionWatchdog linkWatch;
     VmReport report;
+    // What the last read of the store showed of the VM, and the number of reports to it that
+    // still are to tell that.
+    SeenRow seenRow;
+    int seenRowReports = 0;
+    // The next report tells the VM that it has gained ranges of the quota.
+    bool hasQuotaNews = false;
   };
 
   Task<void> RunLink();
   Task<void> RunRows();
+  // Reads the rows if that is due and makes the next change. Returns the pause until the next call
+  // of the store may follow.
+  Task<std::chrono::milliseconds> StepRows();
   Task<bool> ReadRows();
-  // Adopts the range in this VM's row if the row is of the current era.
-  void ApplyOwnRow(const VmRecord& aRecord, std::uint64_t aVersion);
-  Task<bool> RegisterSelf();
-  // Registers this VM. If the store may just have been restored from a copy, a range that is
-  // named only by a row of an earlier era isn't claimed before live VMs have had time to
-  // rewrite their rows.
-  Task<bool> TryRegister();
-  QuotaRange UnclaimedQuota(const QuotaRange& aRange) const;
-  Task<bool> ShareQuota();
+  Task<bool> Apply(placing::QuotaChange aChange);
+  platform::RowWrite WriteOf(const placing::QuotaChange& aChange) const;
+  // Tells VMs that they have gained ranges.
+  void TellHeirs(const placing::QuotaChange& aChange);
+  void ForgetLostMembers();
+  std::vector<placing::QuotaPeer> QuotaPeers(BootTime aNow) const;
+  void FillQuota(VmReport& aReport, BootTime aNow) const;
+  // Hands the traffic thread what it may grant now.
+  void PublishQuota();
+  // Waits until the traffic thread grants no more than that.
+  Task<void> AwaitQuotaApplied();
+  bool IsMissed(const Member& aMember, BootTime aNow) const;
+  bool IsSettled(const Member& aMember, BootTime aNow) const;
   void OnMessage(const Envelope& aMessage);
   void OnReport(const Envelope& aMessage);
   void SendIntroductions();
   void PublishView();
-  void PublishRange();
   void SendReport(Member& aMember, bool aIsIntroduction);
   bool IsSameRegion(const Member& aMember) const;
   // Reconnects to VMs whose connection has gone silent.
@@ -108,8 +130,7 @@
   // Updates the metrics of VMs alive and expected, and logs a warning when some stay silent.
   void TrackSilentVms(std::size_t aAliveCount, BootTime aNow);
   bool IsAlive(const Member& aMember, BootTime aNow) const;
-  VmRecord SelfRecord(const QuotaRange& aRange) const;
-  std::vector<VmQuota> QuotaShares() const;
+  VmRecord SelfRecord() const;
 
   asio::io_context& context;
   const EdgedSettings& settings;
@@ -123,17 +144,14 @@
   // All VMs that have a row or have sent a report, this one excluded.
   std::map<std::string, Member> members;
   placing::FleetRoster roster;
-  // Version of this VM's row as last read or written; 0 if there is none.
-  std::uint64_t ownVersion = 0;
-  QuotaRange ownRange;
-  // True if this VM's row was written in the current era of the store.
-  bool isCurrentEra = true;
-  bool isRegistered = false;
-  // Latest known era of the store; 0 before the first response.
-  std::uint64_t era = 0;
-  // Until this time live VMs rewrite the rows that the store has lost.
-  BootTime eraSettledAt{};
+  placing::QuotaOwnership ownership;
+  // The last grant that was published, and the number of those that aren't applied yet.
+  QuotaGrant grant;
+  int pendingGrants = 0;
+  bool wasLapsed = false;
+  std::mt19937_64 random;
   asio::steady_timer rowTimer;
+  asio::steady_timer grantTimer;
   VmReport ownReport;
   std::uint64_t reportCount = 0;
   BootTime lastPollAt{};
--- a/src/edge/names.h
+++ b/src/edge/names.h
@@ -3,6 +3,7 @@
 #include "plantainhaven/policy/placing/caller_directory.h"
 #include "plantainhaven/policy/placing/placement.h"
 #include "plantainhaven/policy/placing/poll_coordinator.h"
+#include "plantainhaven/policy/placing/quota_ownership.h"
 #include "plantainhaven/policy/placing/quota_ring.h"
 #include "plantainhaven/policy/placing/rendezvous.h"
 #include "plantainhaven/policy/placing/retry_token_bucket.h"
@@ -36,7 +37,9 @@
 using placing::PlanRegions;
 using placing::PollCoordinator;
 using placing::QueuedRequest;
+using placing::QuotaGrant;
 using placing::QuotaRange;
+using placing::QuotaRanges;
 using placing::RegionShare;
 using placing::RegionState;
 using placing::RetryTokenBucket;
@@ -47,13 +50,11 @@
 using placing::SendOutcome;
 using placing::ServerLoad;
 using placing::Service;
-using placing::SplitQuota;
 using placing::StableHash;
 using placing::StepTowards;
 using placing::TokenAcquisition;
 using placing::TokenBuckets;
 using placing::TokenLimit;
-using placing::VmQuota;
 using placing::WaitQueue;
 using placing::WithAssumedDemand;
 
--- a/src/edge/token_broker.cc
+++ b/src/edge/token_broker.cc
@@ -34,6 +34,12 @@
 {
 }
 
+void
+TokenBroker::SetQuota(const QuotaGrant& aGrant)
+{
+  this->buckets.SetRanges(aGrant.ranges, aGrant.validUntil, BootClock::Now());
+}
+
 Task<TokenAcquisition>
 TokenBroker::Acquire(std::string aAccount)
 {
@@ -76,7 +82,7 @@
     const auto unresponsive = this->unresponsiveUntil.find(holder.endpoint);
     const bool answers =
       unresponsive == this->unresponsiveUntil.end() || unresponsive->second <= now;
-    if (answers && placing::HeldFraction(positions, holder.range) > 0) {
+    if (answers && placing::HeldFraction(positions, holder.ranges) > 0) {
       found.push_back(&holder);
     }
   }
--- a/src/edge/token_broker.h
+++ b/src/edge/token_broker.h
@@ -20,10 +20,10 @@
 // Sends a message to another VM.
 using PeerSender = std::function<void(const std::string& aEndpoint, Envelope aMessage)>;
 
-// A live VM and the quota range that it owns.
+// A live VM and the quota ranges whose units it grants.
 struct QuotaHolder
 {
-  placing::QuotaRange range;
+  placing::QuotaRanges ranges;
   std::string endpoint;
   // Whether the VM is in this VM's region.
   bool isNear = false;
@@ -40,6 +40,8 @@
               std::mt19937_64& aRandom);
 
   TokenBuckets& Buckets() { return this->buckets; }
+  // Sets what this VM may grant.
+  void SetQuota(const QuotaGrant& aGrant);
   void SetHolders(std::vector<QuotaHolder> aHolders) { this->holders = std::move(aHolders); }
   // Acquires a token. Waits briefly for one to borrow if this VM has none.
   Task<TokenAcquisition> Acquire(std::string aAccount);
--- a/src/edge/traffic.cc
+++ b/src/edge/traffic.cc
@@ -299,8 +299,10 @@
     text << "path_lost failure_domain=" << domain << "\n";
   }
   for (const QuotaHolder& holder : this->fleet.holders) {
-    text << "quota holder=" << holder.endpoint << " begin=" << holder.range.begin
-         << " end=" << holder.range.end << "\n";
+    for (const QuotaRange& range : holder.ranges) {
+      text << "quota holder=" << holder.endpoint << " begin=" << range.begin << " end=" << range.end
+           << "\n";
+    }
   }
   const BootTime now = BootClock::Now();
   for (const placing::CrashRecord& record : this->crashes.Quarantined(now)) {
@@ -358,13 +360,15 @@
 }
 
 void
-Traffic::SetQuotaRange(const QuotaRange& aRange)
+Traffic::SetQuota(const QuotaGrant& aGrant)
 {
-  this->tokens.Buckets().SetRange(aRange, BootClock::Now());
+  this->tokens.SetQuota(aGrant);
 }
 
 void
-Traffic::BeginStop(const placing::StopSignal& aSignal, std::function<void()> aOnStopped)
+Traffic::BeginStop(const placing::StopSignal& aSignal,
+                   std::function<void()> aOnRejecting,
+                   std::function<void(BootTime aExitAt)> aOnStopped)
 {
   if (this->state.IsLeaving()) {
     return;
@@ -379,7 +383,8 @@
   VmReport report;
   report.set_leaving(true);
   this->publishReport(std::move(report));
-  asio::co_spawn(this->context, this->RunStop(std::move(aOnStopped)), asio::detached);
+  asio::co_spawn(
+    this->context, this->RunStop(std::move(aOnRejecting), std::move(aOnStopped)), asio::detached);
 }
 
 void
@@ -403,7 +408,8 @@
 }
 
 Task<void>
-Traffic::RunStop(std::function<void()> aOnStopped)
+Traffic::RunStop(std::function<void()> aOnRejecting,
+                 std::function<void(BootTime aExitAt)> aOnStopped)
 {
   const placing::StopSchedule schedule = *this->state.stopSchedule;
   asio::steady_timer timer(this->context);
@@ -411,6 +417,7 @@
     co_await Sleep(timer, kStopPoll);
   }
   this->EnterStopPhase(StopPhase::kRejecting);
+  aOnRejecting();
   co_await this->AwaitRequests(schedule.EndAt());
   if (this->state.openRequests > 0) {
     Log(LogLevel::kInfo, "stop_ends_requests", { { "open_requests", this->state.openRequests } });
@@ -420,7 +427,7 @@
   this->EnterStopPhase(StopPhase::kEndingBuffered);
   co_await this->AwaitRequests(schedule.ExitAt());
   Log(LogLevel::kInfo, "stopped", { { "open_requests", this->state.openRequests } });
-  aOnStopped();
+  aOnStopped(schedule.ExitAt());
 }
 
 } // namespace plantainhaven::edge
--- a/src/edge/traffic.h
+++ b/src/edge/traffic.h
@@ -61,9 +61,12 @@
 
   // Opens the listeners; throws boost::system::system_error when an address can't be bound.
   void Start();
-  // Begins an orderly stop: open requests complete, new ones are refused after a short time, and
-  // `aOnStopped` is called within the platform's grace period.
-  void BeginStop(const placing::StopSignal& aSignal, std::function<void()> aOnStopped);
+  // Begins an orderly stop: open requests complete, and new ones are refused after a short time;
+  // `aOnRejecting` is called then. `aOnStopped` is called when all are complete, with the time at
+  // which the process must have ended, and at the latest at that time.
+  void BeginStop(const placing::StopSignal& aSignal,
+                 std::function<void()> aOnRejecting,
+                 std::function<void(BootTime aExitAt)> aOnStopped);
 
   void SetRouting(RoutingPtr aRouting);
   void SetBounds(const platform::Bounds& aBounds);
@@ -75,7 +78,7 @@
   void OnPeerReport(const VmReport& aReport);
   // Sends quarantined requests to backend servers again, on all VMs.
   void ClearQuarantine();
-  void SetQuotaRange(const QuotaRange& aRange);
+  void SetQuota(const QuotaGrant& aGrant);
   TokenBroker& Tokens() { return this->tokens; }
 
 private:
@@ -92,7 +95,8 @@
   bool IsNewsDue();
   // Stops serving while another VM has had a newer configuration in force for too long.
   void CheckConfigurationAge();
-  Task<void> RunStop(std::function<void()> aOnStopped);
+  Task<void> RunStop(std::function<void()> aOnRejecting,
+                     std::function<void(BootTime aExitAt)> aOnStopped);
   void EnterStopPhase(StopPhase aPhase);
   // Waits until no request is open, or until the time.
   Task<void> AwaitRequests(BootTime aUntil);
--- a/src/policy/placing/quota_ring.cc
+++ b/src/policy/placing/quota_ring.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace plantainhaven::placing {
 namespace {
@@ -18,25 +19,57 @@
 
 } // namespace
 
-std::optional<std::vector<VmQuota>>
-SplitQuota(const std::vector<VmQuota>& aParts, const std::string& aDonor, std::size_t aMaxReceivers)
+std::uint32_t
+TotalLength(const QuotaRanges& aRanges)
 {
-  const auto donor = std::find_if(
-    aParts.begin(), aParts.end(), [&aDonor](const VmQuota& aPart) { return aPart.vm == aDonor; });
-  if (donor == aParts.end() || aParts.size() < 2) {
-    return std::nullopt;
+  std::uint32_t length = 0;
+  for (const QuotaRange& range : aRanges) {
+    length += range.Length();
   }
-  const auto target = kQuotaRingSize / static_cast<std::uint32_t>(aParts.size());
-  std::vector<VmQuota> changed{ *donor };
-  for (const VmQuota& part : aParts) {
-    const bool canDonate = changed.front().range.Length() >= 2 * target;
-    if (part.range.IsEmpty() && canDonate && changed.size() <= aMaxReceivers) {
-      const std::uint32_t end = changed.front().range.end;
-      changed.front().range.end = end - target;
-      changed.push_back({ part.vm, { end - target, end } });
+  return length;
+}
+
+QuotaRanges
+Merged(QuotaRanges aRanges)
+{
+  std::erase_if(aRanges, [](const QuotaRange& aRange) { return aRange.IsEmpty(); });
+  std::sort(aRanges.begin(), aRanges.end(), [](const QuotaRange& aLeft, const QuotaRange& aRight) {
+    return aLeft.begin < aRight.begin;
+  });
+  QuotaRanges merged;
+  for (const QuotaRange& range : aRanges) {
+    if (!merged.empty() && range.begin <= merged.back().end) {
+      merged.back().end = std::max(merged.back().end, range.end);
+    } else {
+      merged.push_back(range);
+    }
+  }
+  return merged;
+}
+
+QuotaRanges
+Without(const QuotaRanges& aRanges, const QuotaRanges& aRemoved)
+{
+  QuotaRanges left;
+  auto removed = aRemoved.begin();
+  for (const QuotaRange& range : aRanges) {
+    std::uint32_t begin = range.begin;
+    while (removed != aRemoved.end() && removed->end <= begin) {
+      ++removed;
+    }
+    for (auto next = removed; next != aRemoved.end() && next->begin < range.end; ++next) {
+      left.push_back({ begin, next->begin });
+      begin = std::max(begin, next->end);
     }
+    left.push_back({ begin, range.end });
   }
-  return changed.size() < 2 ? std::nullopt : std::optional(changed);
+  return Merged(std::move(left));
+}
+
+QuotaRanges
+Common(const QuotaRanges& aLeft, const QuotaRanges& aRight)
+{
+  return Without(aLeft, Without(aLeft, aRight));
 }
 
 std::vector<std::uint32_t>
@@ -55,35 +88,16 @@
 }
 
 double
-HeldFraction(const std::vector<std::uint32_t>& aPositions, const QuotaRange& aRange)
+HeldFraction(const std::vector<std::uint32_t>& aPositions, const QuotaRanges& aRanges)
 {
   const auto held =
-    std::count_if(aPositions.begin(), aPositions.end(), [&aRange](std::uint32_t aPosition) {
-      return aRange.Contains(aPosition);
+    std::count_if(aPositions.begin(), aPositions.end(), [&aRanges](std::uint32_t aPosition) {
+      return std::any_of(aRanges.begin(), aRanges.end(), [aPosition](const QuotaRange& aRange) {
+        return aRange.Contains(aPosition);
+      });
     });
   return aPositions.empty() ? 0
                             : static_cast<double>(held) / static_cast<double>(aPositions.size());
 }
 
-QuotaRange
-LongestRemainder(const QuotaRange& aRange, std::vector<QuotaRange> aOthers)
-{
-  std::erase_if(aOthers, [](const QuotaRange& aOther) { return aOther.IsEmpty(); });
-  std::sort(aOthers.begin(), aOthers.end(), [](const QuotaRange& aLeft, const QuotaRange& aRight) {
-    return aLeft.begin < aRight.begin;
-  });
-  // Ends the gap after the last range.
-  aOthers.push_back({ aRange.end, aRange.end });
-  QuotaRange longest;
-  std::uint32_t begin = aRange.begin;
-  for (const QuotaRange& other : aOthers) {
-    const QuotaRange gap{ begin, std::min(other.begin, aRange.end) };
-    if (gap.Length() > longest.Length()) {
-      longest = gap;
-    }
-    begin = std::max(begin, other.end);
-  }
-  return longest;
-}
-
 } // namespace plantainhaven::placing
--- a/src/policy/placing/token_buckets.cc
+++ b/src/policy/placing/token_buckets.cc
@@ -82,7 +82,8 @@
   bool Take(Bucket& aBucket) const;
 
   BootTime startedAt{};
-  QuotaRange range;
+  QuotaRanges ranges;
+  BootTime validUntil{};
   std::unordered_map<std::string, Bucket> buckets;
 };
 
@@ -105,6 +106,10 @@
   const double earned = aBucket.limit.rate * aBucket.fraction * elapsed;
   aBucket.level = std::min(this->Capacity(aBucket, aNow), aBucket.level + earned);
   aBucket.refilledAt = aNow;
+  if (aNow >= this->validUntil) {
+    // Another VM may be granting these units by now.
+    aBucket.level = 0;
+  }
 }
 
 Bucket*
@@ -139,7 +144,7 @@
     }
     bucket.limit = limit;
     bucket.positions = UnitPositions(limit.account, limit.burst);
-    bucket.fraction = HeldFraction(bucket.positions, this->impl->range);
+    bucket.fraction = HeldFraction(bucket.positions, this->impl->ranges);
     bucket.level = std::min(bucket.level, this->impl->Capacity(bucket, aNow));
     kept.emplace(limit.account, std::move(bucket));
   }
@@ -147,14 +152,15 @@
 }
 
 void
-TokenBuckets::SetRange(const QuotaRange& aRange, BootTime aNow)
+TokenBuckets::SetRanges(const QuotaRanges& aRanges, BootTime aValidUntil, BootTime aNow)
 {
-  this->impl->range = aRange;
   for (auto& [account, bucket] : this->impl->buckets) {
     this->impl->Refill(bucket, aNow);
-    bucket.fraction = HeldFraction(bucket.positions, aRange);
+    bucket.fraction = HeldFraction(bucket.positions, aRanges);
     bucket.level = std::min(bucket.level, this->impl->Capacity(bucket, aNow));
   }
+  this->impl->ranges = aRanges;
+  this->impl->validUntil = aValidUntil;
 }
 
 bool
--- a/test/edge/one_vm.h
+++ b/test/edge/one_vm.h
@@ -23,6 +23,10 @@
 namespace http = beast::http;
 using ReceivedResponse = http::response<http::string_body>;
 
+// The whole quota, for as long as a test runs.
+inline const QuotaGrant kWholeQuota{ .ranges = { { 0, kQuotaRingSize } },
+                                     .validUntil = BootTime::max() };
+
 inline constexpr const char* kSignatureLine = "X-Plantainhaven-Response-Signature: sig\r\n";
 
 inline std::string
@@ -188,7 +192,7 @@
       [](const VmReport&) {});
     this->traffic->Start();
     this->traffic->SetRouting(MakeTestRouting());
-    this->traffic->SetQuotaRange({ 0, kQuotaRingSize });
+    this->traffic->SetQuota(kWholeQuota);
     this->traffic->SetServers(
       { MakeTestServer("s1", this->first), MakeTestServer("s2", this->second) }, BootClock::Now());
     this->thread = std::thread([this] { this->context.run(); });
@@ -302,7 +306,8 @@
     this->SetGrace(aGrace);
     this->RunOnTraffic([&] {
       const BootTime now = BootClock::Now();
-      this->traffic->BeginStop({ now - aSeenLate, now }, [this] { this->context.stop(); });
+      this->traffic->BeginStop(
+        { now - aSeenLate, now }, [] {}, [this](BootTime) { this->context.stop(); });
     });
   }
   // Changes the settings as SIGHUP does.
--- a/test/edge/rewind_test.cc
+++ b/test/edge/rewind_test.cc
@@ -74,7 +74,11 @@
             this->client,
             this->metrics,
             { .onView = [](FleetView) {},
-              .onQuotaRange = [this](QuotaRange aRange) { this->range = aRange; },
+              .onQuota =
+                [this](const QuotaGrant& aGrant, const std::function<void()>& aOnApplied) {
+                  this->grant = aGrant;
+                  aOnApplied();
+                },
               .onServerNews = [](VmReport) {},
               .onTableMessage = [](const Envelope&) {},
               .onTokenMessage = [](Envelope) {} })
@@ -97,17 +101,16 @@
   EdgedSettings settings;
   Metrics metrics;
   platform::StoreClient client;
-  QuotaRange range;
+  // What the VM may grant now.
+  QuotaRanges Granted() const
+  {
+    return BootClock::Now() < this->grant.validUntil ? this->grant.ranges : QuotaRanges();
+  }
+
+  QuotaGrant grant;
   Fleet fleet;
 };
 
-bool
-Overlap(const QuotaRange& aLeft, const QuotaRange& aRight)
-{
-  return !aLeft.IsEmpty() && !aRight.IsEmpty() && aLeft.begin < aRight.end &&
-         aRight.begin < aLeft.end;
-}
-
 // VMs that share a store; each has its own context so that it can be killed separately.
 class Site
 {
@@ -118,8 +121,9 @@
   }
   ~Site()
   {
-    this->Kill("a");
-    this->Kill("b");
+    for (const char* name : { "a", "b", "c" }) {
+      this->Kill(name);
+    }
     this->storeContext.Shutdown();
   }
 
@@ -157,7 +161,16 @@
       this->CheckDisjoint();
     }
   }
-  QuotaRange RangeOf(const std::string& aName) const { return this->slots.at(aName).vm->range; }
+  std::uint32_t LengthOf(const std::string& aName) const
+  {
+    return placing::TotalLength(this->slots.at(aName).vm->Granted());
+  }
+  bool IsHandedOver(const std::string& aName) const
+  {
+    return this->slots.at(aName).vm->fleet.IsHandedOver();
+  }
+  // Stops the VM as planned work does.
+  void Stop(const std::string& aName) { this->slots.at(aName).vm->fleet.BeginHandOver(); }
   standin::StoreStandin& Store() { return this->store; }
 
 private:
@@ -170,15 +183,17 @@
 
   void CheckDisjoint() const
   {
-    std::vector<QuotaRange> ranges;
+    QuotaRanges all;
+    std::uint32_t sum = 0;
     for (const auto& [name, slot] : this->slots) {
       if (slot.vm != nullptr) {
-        ranges.push_back(slot.vm->range);
+        const QuotaRanges granted = slot.vm->Granted();
+        all.insert(all.end(), granted.begin(), granted.end());
+        sum += placing::TotalLength(granted);
       }
     }
-    if (ranges.size() == 2 && Overlap(ranges[0], ranges[1])) {
-      FAIL("ranges overlap: [" << ranges[0].begin << "," << ranges[0].end << ") and ["
-                               << ranges[1].begin << "," << ranges[1].end << ")");
+    if (sum != placing::TotalLength(placing::Merged(std::move(all)))) {
+      FAIL("two VMs grant the same part of the quota");
     }
   }
 
@@ -252,11 +267,10 @@
   site.Start("a");
   site.RunFor(milliseconds(700));
   const std::uint64_t copyVersion = site.Store().Rows().Version();
-  REQUIRE(site.RangeOf("a").Length() == kQuotaRingSize);
+  REQUIRE(site.LengthOf("a") == kQuotaRingSize);
   site.Start("b");
   site.RunFor(milliseconds(6000));
-  const QuotaRange transferredRange = site.RangeOf("b");
-  REQUIRE(transferredRange.Length() == kQuotaRingSize / 2);
+  REQUIRE(site.LengthOf("b") == kQuotaRingSize / 2);
   site.Store().RewindTo(copyVersion);
 
   SECTION("both VMs stay alive")
@@ -268,7 +282,7 @@
     site.Kill("a");
     site.Start("a");
     site.RunFor(milliseconds(8000));
-    CHECK(site.RangeOf("a").Length() == kQuotaRingSize / 2);
+    CHECK(site.LengthOf("a") == kQuotaRingSize / 2);
   }
   SECTION("the receiver is killed and restarts")
   {
@@ -278,4 +292,25 @@
   }
 }
 
+// A VM that ended took its part of the limits with it.
+TEST_CASE("A VM that stops as planned hands its part of the limits to another one")
+{
+  Site site;
+  site.Start("a");
+  site.RunFor(milliseconds(700));
+  site.Start("b");
+  site.RunFor(milliseconds(6000));
+  REQUIRE(site.LengthOf("b") == kQuotaRingSize / 2);
+  site.Stop("a");
+  site.RunFor(milliseconds(1000));
+  CHECK(site.IsHandedOver("a"));
+  CHECK(site.LengthOf("a") == 0);
+  site.Kill("a");
+  site.RunFor(milliseconds(1000));
+  CHECK(site.LengthOf("b") == kQuotaRingSize);
+  site.Start("c");
+  site.RunFor(milliseconds(6000));
+  CHECK(site.LengthOf("c") == kQuotaRingSize / 2);
+}
+
 } // namespace plantainhaven::edge
--- a/test/edge/server_path_test.cc
+++ b/test/edge/server_path_test.cc
@@ -106,7 +106,8 @@
       bounds.stopGrace = aGrace;
       vm.traffic->SetBounds(bounds);
       const BootTime now = BootClock::Now();
-      vm.traffic->BeginStop({ now, now }, [&vm] { vm.context.stop(); });
+      vm.traffic->BeginStop(
+        { now, now }, [] {}, [&vm](BootTime) { vm.context.stop(); });
     });
   }
   void Heal(int aVm)
@@ -230,7 +231,7 @@
       [this, aNumber](const VmReport& aReport) { this->OnReport(aNumber, aReport); });
     vm->traffic->Start();
     vm->traffic->SetRouting(MakeTestRouting());
-    vm->traffic->SetQuotaRange({ 0, kQuotaRingSize });
+    vm->traffic->SetQuota(kWholeQuota);
     std::vector<BackendServer>& entries = vm->entries;
     for (int i = 0; i < kServers; ++i) {
       const FakeServer& fake = *this->servers[static_cast<std::size_t>(i)];
--- a/test/edge/several_vms.h
+++ b/test/edge/several_vms.h
@@ -43,7 +43,7 @@
         });
       vm->traffic->Start();
       vm->traffic->SetRouting(MakeTestRouting());
-      vm->traffic->SetQuotaRange({ 0, kQuotaRingSize });
+      vm->traffic->SetQuota(kWholeQuota);
       vm->traffic->SetServers(aServers, BootClock::Now());
       FleetView heard = fleet;
       if (!aIsConnected) {
--- a/test/policy/placing/fleet_rules_test.cc
+++ b/test/policy/placing/fleet_rules_test.cc
@@ -1,17 +1,12 @@
 #include "plantainhaven/policy/placing/caller_directory.h"
-#include "plantainhaven/policy/placing/quota_ring.h"
 #include "plantainhaven/policy/placing/retry_token_bucket.h"
 #include "plantainhaven/policy/placing/routing.h"
 
-#include <algorithm>
 #include <catch2/catch.hpp>
-#include <numeric>
 
 namespace plantainhaven::placing {
 namespace {
 
-constexpr QuotaRange kWhole{ 0, kQuotaRingSize };
-
 TEST_CASE("Callers are directed to the VMs of their region, those of their domain first")
 {
   const std::vector<EntryVm> vms{ { "1", "a:1", "north", "north-b" },
@@ -37,73 +32,6 @@
   CHECK(AddressesFor({}, "north", "north-a", 64).empty());
 }
 
-TEST_CASE("The whole quota is split once and keeps its sum")
-{
-  std::vector<VmQuota> parts{ { "a", kWhole }, { "b", {} }, { "c", {} }, { "d", {} } };
-  const auto shared = SplitQuota(parts, "a", 90);
-  REQUIRE(shared);
-  CHECK(shared->size() == 4);
-  CHECK(shared->front().vm == "a");
-  std::uint32_t sum = 0;
-  for (const VmQuota& part : *shared) {
-    CHECK(part.range.Length() == kQuotaRingSize / 4);
-    sum += part.range.Length();
-  }
-  CHECK(sum == kQuotaRingSize);
-}
-
-// With 90 VMs a single write for all of them exceeded the store's size limit, so no VM got its
-// share of the quota and nearly every request with a key was rejected.
-TEST_CASE("Many VMs get their quotas in several writes")
-{
-  std::vector<VmQuota> parts{ { "a", kWhole } };
-  for (int i = 0; i < 89; ++i) {
-    parts.push_back({ "vm-" + std::to_string(i), {} });
-  }
-  int writes = 0;
-  while (const auto shared = SplitQuota(parts, "a", 49)) {
-    REQUIRE(++writes <= 2);
-    CHECK(shared->size() <= 50);
-    for (const VmQuota& changed : *shared) {
-      const auto part = std::find_if(
-        parts.begin(), parts.end(), [&](const VmQuota& aPart) { return aPart.vm == changed.vm; });
-      part->range = changed.range;
-    }
-  }
-  std::uint32_t sum = 0;
-  for (const VmQuota& part : parts) {
-    CHECK(part.range.Length() > 0);
-    sum += part.range.Length();
-    for (const VmQuota& other : parts) {
-      CHECK((other.vm == part.vm || !other.range.Contains(part.range.begin)));
-    }
-  }
-  CHECK(sum == kQuotaRingSize);
-}
-
-TEST_CASE("A VM with less than two equal shares gives no quota away")
-{
-  struct Case
-  {
-    std::string name;
-    std::vector<VmQuota> parts;
-  };
-  const Case cases[] = {
-    { "one joins four",
-      { { "a", { 0, 250000 } },
-        { "b", { 250000, 500000 } },
-        { "c", { 500000, 750000 } },
-        { "d", { 750000, 1000000 } },
-        { "e", {} } } },
-    { "alone", { { "a", kWhole } } },
-    { "not listed", { { "b", kWhole }, { "c", {} } } },
-  };
-  for (const Case& entry : cases) {
-    CAPTURE(entry.name);
-    CHECK_FALSE(SplitQuota(entry.parts, "a", 90));
-  }
-}
-
 // With a fixed fraction of the slack for each VM, 25 or more VMs together exceeded the slack.
 TEST_CASE("The retry budgets of all VMs together stay within the fleet's slack")
 {
--- a/test/policy/placing/token_buckets_test.cc
+++ b/test/policy/placing/token_buckets_test.cc
@@ -15,6 +15,8 @@
 constexpr double kBurst = 100;
 
 // The range of one of `aCount` VMs that own equal ranges of the ring.
+constexpr BootTime kForever = BootTime::max();
+
 QuotaRange
 RangeOf(std::size_t aVm, std::size_t aCount)
 {
@@ -90,7 +92,7 @@
   {
     auto buckets = std::make_unique<TokenBuckets>(aNow);
     buckets->SetLimits({ { "a", kRate, kBurst } }, aNow);
-    buckets->SetRange(RangeOf(aVm, kVms), aNow);
+    buckets->SetRanges({ RangeOf(aVm, kVms) }, kForever, aNow);
     return buckets;
   }
 
@@ -178,7 +180,7 @@
     for (std::size_t vm = 0; vm < kManyVms; ++vm) {
       TokenBuckets buckets(At(milliseconds(0)));
       buckets.SetLimits({ { "small", entry.rate, entry.burst } }, At(milliseconds(0)));
-      buckets.SetRange(RangeOf(vm, kManyVms), At(milliseconds(0)));
+      buckets.SetRanges({ RangeOf(vm, kManyVms) }, kForever, At(milliseconds(0)));
       double own = 0;
       for (int i = 0; i < 100; ++i) {
         own += buckets.Lend("small", 1, At(std::chrono::seconds(10)));
@@ -212,7 +214,7 @@
 {
   TokenBuckets buckets(At(milliseconds(0)));
   buckets.SetLimits({ { "a", 5, 10 } }, At(milliseconds(0)));
-  buckets.SetRange({ 0, kQuotaRingSize }, At(milliseconds(0)));
+  buckets.SetRanges({ { 0, kQuotaRingSize } }, kForever, At(milliseconds(0)));
   const TokenAcquisition acquisition = buckets.TryAcquire("a", At(milliseconds(0)));
   CHECK_FALSE(acquisition.acquired);
   CHECK(acquisition.retryAfter == milliseconds(200));
--- a/test/responses/store_response_test.cc
+++ b/test/responses/store_response_test.cc
@@ -46,9 +46,10 @@
   }
   ~StoreSubject() { this->context.Shutdown(); }
 
-  Result<std::uint64_t> Write()
+  Result<WrittenRows> Write()
   {
-    return AwaitResult<std::uint64_t>(this->context, this->client.Write("t", { { "a", "1", 0 } }));
+    return AwaitResult<WrittenRows>(this->context,
+                                    this->client.Write("t", { { { "a", "1", 0 } }, {}, {} }));
   }
   Result<TableSnapshot> Read()
   {
@@ -136,7 +137,7 @@
     for (std::uint64_t call = 1; call <= 3; ++call) {
       const auto written = subject.Write();
       REQUIRE(IsOk(written));
-      CHECK(ValueOf(written) == call);
+      CHECK(ValueOf(written).version == call);
       std::this_thread::sleep_for(2 * entry.later);
     }
   }
--- a/test/standin/store_contract_test.cc
+++ b/test/standin/store_contract_test.cc
@@ -16,10 +16,12 @@
 namespace {
 
 using platform::ConditionalPut;
+using platform::RowWrite;
 using platform::StoreClient;
 using platform::StoreRow;
 using platform::TableChanges;
 using platform::TableSnapshot;
+using platform::WrittenRows;
 using std::chrono::milliseconds;
 
 constexpr const char* kTable = "fleet";
@@ -30,12 +32,17 @@
 {
 public:
   virtual ~Subject() = default;
-  virtual Result<std::uint64_t> Write(const std::vector<ConditionalPut>& aPuts) = 0;
+  virtual Result<std::uint64_t> Apply(const RowWrite& aWrite) = 0;
   virtual Result<TableSnapshot> Read() = 0;
   virtual Result<TableChanges> Changes(std::uint64_t aAfter) = 0;
   virtual void Remove(const std::string& aKey) = 0;
   virtual void ForgetHistory() = 0;
   virtual void RewindTo(std::uint64_t aVersion) = 0;
+
+  Result<std::uint64_t> Write(const std::vector<ConditionalPut>& aPuts)
+  {
+    return this->Apply({ aPuts, {}, {} });
+  }
 };
 
 StoreRow
@@ -48,13 +55,20 @@
 class InProcess : public Subject
 {
 public:
-  Result<std::uint64_t> Write(const std::vector<ConditionalPut>& aPuts) override
+  Result<std::uint64_t> Apply(const RowWrite& aWrite) override
   {
     RowTransaction transaction;
-    for (const ConditionalPut& put : aPuts) {
-      transaction.conditions.push_back({ { kTable, "", put.key }, put.expectedVersion });
+    for (const auto* const part : { &aWrite.puts, &aWrite.removals, &aWrite.conditions }) {
+      for (const ConditionalPut& row : *part) {
+        transaction.conditions.push_back({ { kTable, "", row.key }, row.expectedVersion });
+      }
+    }
+    for (const ConditionalPut& put : aWrite.puts) {
       transaction.puts.push_back({ { kTable, "", put.key }, put.value, 0, false });
     }
+    for (const ConditionalPut& removal : aWrite.removals) {
+      transaction.removals.push_back({ kTable, "", removal.key });
+    }
     const CommitAnswer answer = this->rows.Commit(transaction);
     if (std::holds_alternative<Conflicted>(answer)) {
       return Error{ .kind = ErrorKind::kConflict, .message = "conflict", .remedy = "" };
@@ -114,9 +128,15 @@
   }
   ~OverHttp() override { this->context.Shutdown(); }
 
-  Result<std::uint64_t> Write(const std::vector<ConditionalPut>& aPuts) override
+  Result<std::uint64_t> Apply(const RowWrite& aWrite) override
   {
-    return AwaitResult<std::uint64_t>(this->context, this->client.Write(kTable, aPuts));
+    const auto written =
+      AwaitResult<WrittenRows>(this->context, this->client.Write(kTable, aWrite));
+    if (!IsOk(written)) {
+      return ErrorOf(written);
+    }
+    CHECK(ValueOf(written).era == this->store.Rows().Era());
+    return ValueOf(written).version;
   }
   Result<TableSnapshot> Read() override
   {
@@ -191,6 +211,41 @@
   }
 }
 
+TEST_CASE("A write removes rows and depends on rows that it leaves as they are")
+{
+  for (const auto& subject : Subjects()) {
+    const std::uint64_t version =
+      ValueOf(subject->Write({ { "a", "1", 0 }, { "b", "2", 0 }, { "c", "3", 0 } }));
+    struct Case
+    {
+      std::string name;
+      RowWrite write;
+      bool isDone;
+    };
+    const Case cases[] = {
+      { "condition fails",
+        { { { "a", "x", version } }, { { "b", "", version } }, { { "c", "", 1000 } } },
+        false },
+      { "removal fails", { { { "a", "x", version } }, { { "b", "", 1000 } }, {} }, false },
+      { "row that must not exist does",
+        { { { "a", "x", version } }, {}, { { "c", "", 0 } } },
+        false },
+      { "all hold",
+        { { { "a", "x", version } }, { { "b", "", version } }, { { "c", "", version } } },
+        true },
+    };
+    for (const Case& entry : cases) {
+      CAPTURE(entry.name);
+      CHECK(IsOk(subject->Apply(entry.write)) == entry.isDone);
+      const auto read = subject->Read();
+      REQUIRE(ValueOf(read).rows.size() == (entry.isDone ? 2U : 3U));
+      CHECK(ValueOf(read).rows.front().value == (entry.isDone ? "x" : "1"));
+      CHECK(ValueOf(read).rows.back().value == "3");
+      CHECK(ValueOf(read).rows.back().version == version);
+    }
+  }
+}
+
 TEST_CASE("A store restored from an older backup reuses versions in a new era")
 {
   for (const auto& subject : Subjects()) {
