Send no body in the daemon's own responses to HEAD

Cause: whether a response has a body was known where responses are forwarded, and not where the daemon makes its own: CallerResponse::Refuse, for callers and for relaying VMs, and ServeSimple (look-ups, readiness, metrics). Answers of 400 and 431 are made before the method is known and had a body too.

WriteOwnResponse writes all of them now and asks MayHaveBody in policy/response, as forwarding does; so no path can forget. A request whose method couldn't be read may be HEAD: its response has no body, and the connection is closed. Forwarded 204 and 304 no longer get a length of 0 added.

Tests: head_request_test asks ten own responses and a served one with HEAD, alone and before a pipelined request, the relay port, a planned stop and the small server.

--- a/include/plantainhaven/policy/response/response_rules.h
+++ b/include/plantainhaven/policy/response/response_rules.h
@@ -41,6 +41,11 @@
 std::variant<Framing, ResponseFault>
 FramingOf(const ResponseFacts& aFacts);
 
+// Whether a response with this status to a request with this method may have a body. The method is
+// empty if the request couldn't be read as far as that; it may then be HEAD.
+bool
+MayHaveBody(int aStatus, std::string_view aMethod);
+
 // Whether a line of the head begins with a blank or a tab, and so continues the field before it.
 // HTTP/1.1 has no such lines any more, and two programs may read them differently.
 bool
--- a/src/edge/caller_response.cc
+++ b/src/edge/caller_response.cc
@@ -1,6 +1,8 @@
 #include "edge/caller_response.h"
 
 #include "edge/forwarding.h"
+#include "edge/own_response.h"
+#include "plantainhaven/policy/response/response_rules.h"
 #include "platform/names.h"
 
 #include <utility>
@@ -51,15 +53,16 @@
   CopyFields(aExchange.Head(), response);
   this->SetOutcome(response);
   response.keep_alive(this->form.keepsAlive);
-  if (!this->form.isHead) {
+  const bool hasBody = MayHaveBody(static_cast<int>(response.result_int()), this->form.method);
+  if (hasBody) {
     response.body() = std::move(aExchange.Body());
     response.content_length(response.body().size());
   }
   http::response_serializer<http::string_body> serializer(response);
-  serializer.split(this->form.isHead);
+  serializer.split(!hasBody);
   beast::error_code fault;
   this->caller.expires_after(kWriteTimeout);
-  if (this->form.isHead) {
+  if (!hasBody) {
     co_await http::async_write_header(this->caller, serializer, Into(fault));
   } else {
     co_await http::async_write(this->caller, serializer, Into(fault));
@@ -137,10 +140,9 @@
   this->SetOutcome(response);
   response.keep_alive(this->form.keepsAlive);
   response.body() = aRefusal.reason + "\n";
-  response.prepare_payload();
-  beast::error_code fault;
   this->caller.expires_after(kWriteTimeout);
-  co_await http::async_write(this->caller, response, Into(fault));
+  const beast::error_code fault =
+    co_await WriteOwnResponse(this->caller, std::move(response), this->form.method);
   co_return !fault;
 }
 
--- a/src/edge/caller_response.h
+++ b/src/edge/caller_response.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace plantainhaven::edge {
 
@@ -27,8 +28,8 @@
   struct Form
   {
     unsigned version = 11;
-    // The response to a HEAD request has no body.
-    bool isHead = false;
+    // The request's method; empty if the request couldn't be read as far as that.
+    std::string method;
     bool keepsAlive = true;
     // In a response to another VM: how the attempt at the backend server ended.
     const char* relayOutcome = nullptr;
@@ -36,7 +37,7 @@
 
   CallerResponse(beast::tcp_stream& aCaller, Form aForm)
     : caller(aCaller)
-    , form(aForm)
+    , form(std::move(aForm))
   {
   }
 
--- a/src/edge/relay_run.cc
+++ b/src/edge/relay_run.cc
@@ -54,7 +54,7 @@
 {
   return { this->peer,
            { .version = this->request.version(),
-             .isHead = this->request.method() == http::verb::head,
+             .method = std::string(ToStd(this->request.method_string())),
              .keepsAlive = this->KeepsAlive(),
              .relayOutcome = ToString(aOutcome) } };
 }
--- a/src/edge/request_run.cc
+++ b/src/edge/request_run.cc
@@ -62,7 +62,7 @@
 {
   return { this->caller,
            { .version = this->request.version(),
-             .isHead = this->request.method() == http::verb::head,
+             .method = std::string(ToStd(this->request.method_string())),
              .keepsAlive = this->KeepsAlive() } };
 }
 
--- a/src/edge/simple_server.cc
+++ b/src/edge/simple_server.cc
@@ -1,5 +1,7 @@
 #include "edge/simple_server.h"
 
+#include "edge/own_response.h"
+
 #include <boost/beast/core.hpp>
 #include <cctype>
 #include <memory>
@@ -38,9 +40,10 @@
     response.set(http::field::content_type, content.contentType);
     response.keep_alive(request.keep_alive());
     response.body() = std::move(content.body);
-    response.prepare_payload();
     isOpen = response.keep_alive();
-    co_await http::async_write(stream, response, Into(fault));
+    const auto method = request.method_string();
+    fault =
+      co_await WriteOwnResponse(stream, std::move(response), { method.data(), method.size() });
     isOpen = isOpen && !fault;
   }
   beast::error_code ignored;
--- a/src/policy/response/response_rules.cc
+++ b/src/policy/response/response_rules.cc
@@ -13,10 +13,9 @@
 constexpr int kNotModified = 304;
 
 bool
-HasNoBody(const ResponseFacts& aFacts)
+IsStatusWithBody(int aStatus)
 {
-  return aFacts.isToHead || aFacts.status < kFirstFinalStatus || aFacts.status == kNoContent ||
-         aFacts.status == kNotModified;
+  return aStatus >= kFirstFinalStatus && aStatus != kNoContent && aStatus != kNotModified;
 }
 
 bool
@@ -34,7 +33,7 @@
   if (aFacts.status < kFirstStatus || aFacts.status > kLastStatus) {
     return ResponseFault::kStatus;
   }
-  if (HasNoBody(aFacts)) {
+  if (aFacts.isToHead || !IsStatusWithBody(aFacts.status)) {
     return Framing::kNone;
   }
   if (!aFacts.transferCodings.empty()) {
@@ -45,6 +44,12 @@
   return aFacts.lengths > 0 ? Framing::kLength : Framing::kUntilClose;
 }
 
+bool
+MayHaveBody(int aStatus, std::string_view aMethod)
+{
+  return IsStatusWithBody(aStatus) && !aMethod.empty() && aMethod != "HEAD";
+}
+
 bool
 HasFoldedLine(std::string_view aHead)
 {
