Claim a part of the limits only while nobody owns it

Cause: a right without an end and a claim without a look. The restarted VM took what nobody had claimed for 4 s, while its owner slept for 5 s; that one woke and wrote the range that it had in memory, whoever owned it by then.

Now the VM that comes back claims from memory only what nobody owns, and only while its lease lasts; others get what is unclaimed 17 s after the assignment was made anew, when every lease of the older era has ended. Both claims are transactions on one row, so one of them wins. A VM that hears of a new era grants nothing until it has written; requests wait for that up to 0.3 s instead of being refused.

Tests: "A part that was given away before the store went back to a copy is granted by one VM", each event of the walk before and after a restore, and series with restores. "Quota ranges stay disjoint when a restored store lacks a transfer" checked after 8 s that the restarted VM has its half again: that relied on the wait of 4 s, which is the fault. It now checks the half of the VM with memory at 3 and 8 s, the other half after 25 s, and as before all the time that the parts are disjoint.

--- a/include/plantainhaven/policy/placing/quota_ownership.h
+++ b/include/plantainhaven/policy/placing/quota_ownership.h
@@ -114,6 +114,8 @@
 {
   QuotaRanges ranges{};
   BootTime validUntil{};
+  // The store has just come back from a copy: the lease will be renewed by this time.
+  BootTime renewedBy{};
 
   bool operator==(const QuotaGrant&) const = default;
 };
--- a/src/edge/token_broker.cc
+++ b/src/edge/token_broker.cc
@@ -37,6 +37,7 @@
 void
 TokenBroker::SetQuota(const QuotaGrant& aGrant)
 {
+  this->renewedBy = aGrant.renewedBy;
   this->buckets.SetRanges(aGrant.ranges, aGrant.validUntil, BootClock::Now());
 }
 
@@ -59,7 +60,7 @@
   if (queue.inFlight == 0) {
     this->Send({ aAccount, static_cast<double>(queue.waiters.size()) });
   }
-  if (queue.inFlight > 0) {
+  if (queue.inFlight > 0 || now < this->renewedBy) {
     co_await Sleep(entry->timer, kMaxWait);
   }
   queue.waiters.remove(entry);
--- a/src/edge/token_broker.h
+++ b/src/edge/token_broker.h
@@ -93,6 +93,8 @@
   std::mt19937_64& random;
   TokenBuckets buckets;
   std::vector<QuotaHolder> holders;
+  // Requests wait for this VM's lease on its part of the limits until this time.
+  BootTime renewedBy{};
   std::map<std::string, Queue> queues;
   std::map<std::uint64_t, PendingRequest> pendingRequests;
   std::uint64_t nextRequestId = 1;
--- a/src/policy/placing/quota_ownership.cc
+++ b/src/policy/placing/quota_ownership.cc
@@ -7,8 +7,8 @@
 namespace plantainhaven::placing {
 namespace {
 
-// Time in which every live VM learns the store's new era and writes its ranges again.
-constexpr std::chrono::milliseconds kEraSettleTime{ 4000 };
+// Time in which a VM that reaches the store has renewed its lease in a new era.
+constexpr std::chrono::milliseconds kRenewalTime{ 1500 };
 // The first era of a store; a later one means that it was once restored from a copy.
 constexpr std::uint64_t kFirstEra = 1;
 // What other VMs have told counts for this long.
@@ -76,6 +76,7 @@
   const QuotaVmRow* OwnRow() const;
   bool IsOwnRowInForce() const;
   bool IsAssignmentInForce() const;
+  bool HasLease(BootTime aNow) const;
   // Prolongs a lease that hasn't ended, if most of the ring is granted by VMs that hear this one.
   void ProlongLease();
   // Records that the store showed this VM's ranges after `aShownAt`.
@@ -93,7 +94,7 @@
   std::vector<std::string> Heirs() const;
   // The assignment that must replace the one in the store: it is missing, of an older era or
   // contradicts rows.
-  std::optional<QuotaAssignment> Correction() const;
+  std::optional<QuotaAssignment> Correction(BootTime aNow) const;
   QuotaChange MakeChange(QuotaChange::Kind aKind) const;
   // Sets the new assignment, and the VMs that gain ranges by it.
   void SetAssignment(QuotaChange& aChange, QuotaAssignment aAssignment) const;
@@ -112,6 +113,7 @@
   std::string self;
   std::uint64_t incarnation = 0;
   std::uint64_t era = 0;
+  BootTime eraAt{};
   // The last read with the changes made since.
   QuotaRows rows;
   // False when the rows in the store may differ from `rows` because of a write.
@@ -160,6 +162,12 @@
   return this->rows.assignment && IsCurrent(this->rows, this->rows.assignmentEra);
 }
 
+bool
+QuotaOwnership::Impl::HasLease(BootTime aNow) const
+{
+  return this->isRegistered && aNow < this->shownAt + kLease;
+}
+
 void
 QuotaOwnership::Impl::RenewLease(BootTime aShownAt)
 {
@@ -269,7 +277,7 @@
 }
 
 std::optional<QuotaAssignment>
-QuotaOwnership::Impl::Correction() const
+QuotaOwnership::Impl::Correction(BootTime aNow) const
 {
   const bool isInForce = this->IsAssignmentInForce();
   const bool isFirstVm = this->rows.vms.empty() && this->rows.assignmentVersion == 0;
@@ -279,8 +287,8 @@
   QuotaAssignment corrected = isInForce ? *this->rows.assignment : QuotaAssignment();
   AdoptRowRanges(this->rows, corrected);
   const bool isMemoryNewer = !isInForce || this->ownedEra != this->era;
-  if (isMemoryNewer && this->isRegistered) {
-    corrected.Assign(Without(this->owned, this->withheld), this->self);
+  if (isMemoryNewer && this->HasLease(aNow)) {
+    corrected.Assign(Common(Without(this->owned, this->withheld), corrected.Unowned()), this->self);
   }
   if (isInForce && corrected == *this->rows.assignment) {
     return std::nullopt;
@@ -324,9 +332,9 @@
 }
 
 std::optional<QuotaChange>
-QuotaOwnership::Impl::Register(BootTime)
+QuotaOwnership::Impl::Register(BootTime aNow)
 {
-  const std::optional<QuotaAssignment> correction = this->Correction();
+  const std::optional<QuotaAssignment> correction = this->Correction(aNow);
   const bool isInForce = this->isRegistered && this->IsOwnRowInForce() && !correction;
   if (isInForce || (this->isStopping && !this->isRegistered)) {
     return std::nullopt;
@@ -456,7 +464,7 @@
 QuotaOwnership::Impl::Claim(BootTime aNow)
 {
   if (this->isStopping || !this->unownedSince ||
-      aNow - *this->unownedSince < kEraSettleTime + this->StandInDelay()) {
+      aNow - *this->unownedSince < kTakeOverDelay + this->StandInDelay()) {
     return std::nullopt;
   }
   QuotaAssignment next = *this->rows.assignment;
@@ -540,13 +548,14 @@
 QuotaOwnership::~QuotaOwnership() = default;
 
 void
-QuotaOwnership::OnEra(std::uint64_t aEra, BootTime)
+QuotaOwnership::OnEra(std::uint64_t aEra, BootTime aNow)
 {
   Impl& state = *this->impl;
   if (aEra <= state.era) {
     return;
   }
   state.era = aEra;
+  state.eraAt = aNow;
   state.hasRows = false;
   state.isReadDue = true;
   // What was being given away may have reached its new owner.
@@ -698,6 +707,9 @@
   if (!state.isRegistered) {
     return {};
   }
+  if (state.ownedEra != state.era) {
+    return { .renewedBy = state.eraAt + kRenewalTime };
+  }
   return { .ranges = Without(state.owned, state.withheld), .validUntil = state.leaseEnd };
 }
 
--- a/test/edge/rewind_test.cc
+++ b/test/edge/rewind_test.cc
@@ -263,6 +263,8 @@
 // precedes the transfer.
 TEST_CASE("Quota ranges stay disjoint when a restored store lacks a transfer")
 {
+  // VMs of the older era that aren't heard may go on until their leases end.
+  constexpr milliseconds kEraBound = placing::QuotaOwnership::kTakeOverDelay + milliseconds(8000);
   Site site;
   site.Start("a");
   site.RunFor(milliseconds(700));
@@ -275,13 +277,18 @@
 
   SECTION("both VMs stay alive")
   {
-    site.RunFor(milliseconds(17000));
+    site.RunFor(milliseconds(3000));
+    CHECK(site.LengthOf("a") == kQuotaRingSize / 2);
+    CHECK(site.LengthOf("b") == kQuotaRingSize / 2);
+    site.RunFor(milliseconds(14000));
   }
   SECTION("the giver is killed, restarts and reads a row that assigns it the whole quota")
   {
     site.Kill("a");
     site.Start("a");
     site.RunFor(milliseconds(8000));
+    CHECK(site.LengthOf("b") == kQuotaRingSize / 2);
+    site.RunFor(kEraBound - milliseconds(8000));
     CHECK(site.LengthOf("a") == kQuotaRingSize / 2);
   }
   SECTION("the receiver is killed and restarts")
@@ -289,6 +296,9 @@
     site.Kill("b");
     site.Start("b");
     site.RunFor(milliseconds(8000));
+    CHECK(site.LengthOf("a") == kQuotaRingSize / 2);
+    site.RunFor(kEraBound - milliseconds(8000));
+    CHECK(site.LengthOf("b") == kQuotaRingSize / 2);
   }
 }
 
--- a/test/policy/placing/quota_ownership_test.cc
+++ b/test/policy/placing/quota_ownership_test.cc
@@ -95,6 +95,22 @@
   });
 }
 
+// A store that comes back from a copy.
+const Event kRewinds[] = {
+  { "copy 2 s old",
+    [](QuotaWorld& aWorld, const std::string&) { aWorld.Rewind(seconds(2)); },
+    seconds(1) },
+  { "copy 6 s old after an outage",
+    [](QuotaWorld& aWorld, const std::string&) {
+      aWorld.StopStore(milliseconds(600));
+      aWorld.Rewind(seconds(6));
+    },
+    seconds(1) },
+  { "copy 20 s old",
+    [](QuotaWorld& aWorld, const std::string&) { aWorld.Rewind(seconds(20)); },
+    seconds(1) },
+};
+
 struct Step
 {
   const Event* event;
@@ -133,13 +149,15 @@
 
 // Plays six random events at random VMs.
 void
-PlaySeries(std::uint64_t aSeed)
+PlaySeries(std::uint64_t aSeed, bool aHasRewinds)
 {
   constexpr int kPauses[] = { 250, 1000, 3000, 7000, 18000 };
   std::mt19937_64 random(aSeed);
   std::vector<Step> steps;
   for (int i = 0; i < 6; ++i) {
-    steps.push_back({ &kEvents[random() % std::size(kEvents)],
+    const bool isRewind = aHasRewinds && random() % 3 == 0;
+    steps.push_back({ isRewind ? &kRewinds[random() % std::size(kRewinds)]
+                               : &kEvents[random() % std::size(kEvents)],
                       kVms[random() % std::size(kVms)],
                       milliseconds(kPauses[random() % std::size(kPauses)]) });
   }
@@ -400,7 +418,50 @@
 TEST_CASE("After series of faults and planned changes each unit is granted by one VM")
 {
   for (std::uint64_t seed = 1; seed <= kSeries; ++seed) {
-    PlaySeries(seed);
+    PlaySeries(seed, false);
+  }
+}
+
+// A VM that had given a part away was restarted on the copy of its row and granted all of it, and
+// the VM that had got the part slept meanwhile and went on granting it.
+TEST_CASE("A part that was given away before the store went back to a copy is granted by one VM")
+{
+  for (const milliseconds sleep :
+       { milliseconds(5000), milliseconds(12000), milliseconds(25000) }) {
+    QuotaWorld world(1);
+    world.Start("a");
+    REQUIRE(world.RunFor(seconds(5)));
+    world.Start("b");
+    REQUIRE(world.RunFor(seconds(6)));
+    REQUIRE(TotalLength(world.GrantedBy("b")) == kQuotaRingSize / 2);
+    CAPTURE(sleep.count());
+    world.Sleep("b", sleep);
+    world.Rewind(seconds(7));
+    world.Start("a");
+    REQUIRE(world.RunFor(sleep + kOwnerBound));
+    CAPTURE(world.Text());
+    CHECK(world.GrantedLength() == kQuotaRingSize);
+  }
+}
+
+TEST_CASE(
+  "After a store came back from a copy, and any other event, each unit is granted by one VM")
+{
+  std::uint64_t seed = 1;
+  for (const Event& rewind : kRewinds) {
+    for (const Event& other : kEvents) {
+      for (const int pause : { 0, 500, 3000, 16000 }) {
+        Play({ { &rewind, "a", milliseconds(pause) }, { &other, "b", milliseconds(500) } }, seed++);
+        Play({ { &other, "b", milliseconds(pause) }, { &rewind, "a", milliseconds(500) } }, seed++);
+      }
+    }
+  }
+}
+
+TEST_CASE("After series of faults with stores from copies each unit is granted by one VM")
+{
+  for (std::uint64_t seed = 1; seed <= kSeries; ++seed) {
+    PlaySeries(seed, true);
   }
 }
 
